Read a backend's start in milliseconds, not in thousands of seconds

Lines: discovery.Discovery._entry turned startedAtMs into microseconds with a factor of 1,000,000. Starts lay in the far future, a cold backend never aged, and its ration stood in for its capacity for good. Test: test_a_start_in_unix_milliseconds_is_found_on_the_nodes_own_clock (fails without the change).

--- a/sumachub/node/discovery.py
+++ b/sumachub/node/discovery.py
@@ -245,7 +245,9 @@
             raise ValueError("instanceId")
         health = HEALTHS[row.get("lifecycle", "ready")]
         started_ms = row.get("startedAtMs") or 0
-        started = max(1, int(started_ms * 1000000) + self.offset_us) if started_ms else 0
+        # Unix milliseconds to the node's own clock in microseconds.  A start that came out later than now
+        # would never age: the module would take the backend for cold, and ration it, for good.
+        started = max(1, int(started_ms * 1000) + self.offset_us) if started_ms else 0
         if health is Health.GONE:
             self.backends.remove(id)
             return BackendEntry(id, str(row.get("zone", "")), str(row.get("machineType", "")),
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -212,6 +212,18 @@
         assert client.ask().status == 200 and len(two.requests) == before + 1
 
 
+def test_a_start_in_unix_milliseconds_is_found_on_the_nodes_own_clock() -> None:
+    """Starts lay in the far future, so what had once started was taken for cold, and held back, for good."""
+    long_ago = int(1000 * (time.time() - 60))  # three times as long as a backend takes to be warm
+    backend = Backend()
+    node = Node([backend], known=[backend.row(startedAtMs=long_ago)])
+    try:
+        client = node.client()
+        assert [client.ask(budget="2000m").status for _ in range(8)] == [200] * 8
+    finally:
+        node.close()
+
+
 # ---------------------------------------------------------------- peers
 
 
