Forget a request once its last attempt has ended

Checked: descriptors are flat and connections to backends stay under 150, so it is not sockets; with most_held set to 30, served requests are still counted as held, and the 503s begin. Lines: core.Node.end told the module and left the request in Node.requests; _forget was called only where the node itself answers or the client leaves. Held requests also kept their part of the bodies' budget and counted against most_held, so that in the end everything is turned away. Test: test_a_request_that_is_over_is_held_no_longer (503 from the 20th of 120 without the change).

--- a/sumachub/node/core.py
+++ b/sumachub/node/core.py
@@ -256,6 +256,9 @@
                     client.serve(body, content_type)
         latency = (attempt.first_at or now) - attempt.sent_at
         self.post(AttemptEnded(r.key, attempt.number, attempt.backend, outcome, latency, final, report))
+        # The end of the last attempt of a request that has its answer is the request's end too.  Kept beyond
+        # it, requests would fill the memory, the bodies' budget and at last ``most_held``.
+        self._forget(r)
 
     # ------------------------------------------------------------ actions of the module
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -15,7 +15,18 @@
 
 import pytest
 
-from tests.loopback import ROOT, Backend, Client, Discovery, Node, answer, free_address, running, wait_for
+from tests.loopback import (
+    ROOT,
+    Backend,
+    Client,
+    Discovery,
+    Node,
+    Script,
+    answer,
+    free_address,
+    running,
+    wait_for,
+)
 
 
 def start(tmp_path: Path, env: dict[str, str], config: Any) -> subprocess.CompletedProcess[str]:
@@ -299,6 +310,15 @@
         assert node.client().ask().status == 200
 
 
+@pytest.mark.parametrize(("script", "count"), [(None, 120), (lambda s, n: None, 24)])
+def test_a_request_that_is_over_is_held_no_longer(script: Script | None, count: int) -> None:
+    """Served requests stayed for good: in the end all were turned away as too many, or for their bodies."""
+    with running(script, None, memory_mb=64, most_held=30) as node:  # a silent one: second copies win
+        client = node.client()
+        kinds = [("look", b""), ("pay", bytes(1_000_000))]
+        assert [client.ask(*kinds[n % 2]).status for n in range(count)] == [200] * count
+
+
 def test_memory_and_descriptors_stay_flat_over_many_requests() -> None:
     with running(None, None) as node:
         def drive(count: int) -> None:
