Follow discovery to a new address on SIGHUP

Checked: 129 is SIGHUP's default; nothing in the tree handles it, reads the configuration twice or can change the watch's address. Now SIGHUP reads the configuration again. A good one moves the watch: the whole list is asked for at the new address at once, as all that discovery has to tell counts as told soon after. A bad one is one line on standard error. The file's address wins over the environment's, which can't be replaced while a node runs. Tests: test_sighup_moves_the_watch_to_the_new_address_of_discovery, test_a_bad_configuration_on_sighup_leaves_the_node_on_the_old_one, test_the_files_discovery_is_newer_than_the_environments (all fail without the change).

--- a/sumachub/__main__.py
+++ b/sumachub/__main__.py
@@ -60,6 +60,8 @@
     stopping = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stopping.set)
     loop.add_signal_handler(signal.SIGINT, stopping.set)
+    # Without a handler SIGHUP ends the process, and with it all requests that it has taken.
+    loop.add_signal_handler(signal.SIGHUP, reload, node)
 
     def sweep() -> None:
         server.sweep()
@@ -73,6 +75,17 @@
     await drain(server, listener, loop.time())
 
 
+def reload(node: Node) -> None:
+    """SIGHUP: the configuration has been replaced.  Discovery's new address holds from now on, all else from
+    the next start; with a configuration that is no good the node stays as it is."""
+    try:
+        config = load_config(os.environ)
+    except ConfigError as error:
+        print(f"sumachub: {error}", file=sys.stderr, flush=True)
+        return
+    node.discovery.move(config.discovery)
+
+
 async def drain(server: Server, listener: asyncio.Server, since: float) -> None:
     """Answer all that was taken: each answer closes its connection, idle ones are closed once no new
     connections come, then the listener, which by then has nothing left to accept."""
--- a/sumachub/config.py
+++ b/sumachub/config.py
@@ -88,10 +88,15 @@
     if not isinstance(peers, list):
         raise ConfigError("peers: needs a list of addresses")
     peer_listen, peers_all = raw.get("peer_listen"), raw.get("peers_all")
+    # The file can be replaced while the node runs, the environment can't: where both name an address of
+    # discovery, the file's is the newer.
+    discovery = parse_address(environ["ROUTER_DISCOVERY"], "ROUTER_DISCOVERY")
+    if raw.get("discovery") is not None:
+        discovery = parse_address(raw["discovery"], "discovery")
     return Config(
         name=environ["ROUTER_NAME"],
         listen=parse_address(environ["ROUTER_LISTEN"], "ROUTER_LISTEN"),
-        discovery=parse_address(environ["ROUTER_DISCOVERY"], "ROUTER_DISCOVERY"),
+        discovery=discovery,
         seed=_seed(raw["seed"]),
         memory_mb=_limit(raw["limits"], "memory_mb", 64),
         sockets=_limit(raw["limits"], "sockets", 64),
--- a/sumachub/node/discovery.py
+++ b/sumachub/node/discovery.py
@@ -99,6 +99,7 @@
         self.generation = 0
         self.watching = False
         self.first = False  # the next answer is the one that the module asked for
+        self.whole = False  # the next call asks for the whole list
         self.call: Call | None = None
         self.task: asyncio.Task[None] | None = None
         self.timer: asyncio.TimerHandle | None = None
@@ -120,9 +121,23 @@
             self.first = True
             self._ask()
 
+    def move(self, address: Address) -> None:
+        """A new configuration names another address.  The old one falls silent or ends soon, and what it
+        would have told until then counts as told: the whole list is asked for at the new one, at once and
+        whether or not the module has asked, and the watch goes on from there."""
+        if address == self.address:
+            return
+        self.address = address
+        self._drop()
+        self.resumed = False
+        self.watching = self.first = self.whole = True
+        self._ask()
+
     def _ask(self) -> None:
         self.timer = self.node.loop.call_later((self.wait_us + PATIENCE_US) / 1e6, self._silent)
-        path = f"/v1/servers?since={self.generation}&timeout_ms={self.wait_us // 1000}"
+        path = "/v1/servers"
+        if not self.whole:
+            path += f"?since={self.generation}&timeout_ms={self.wait_us // 1000}"
         if self.call is not None and self.call.transport is not None and not self.call.transport.is_closing():
             self.call.ask(path)
         else:
@@ -143,7 +158,9 @@
                 call.transport.abort()
             return
         self.call = call
-        self.node.log(f"discovery: watching from generation {self.generation}")
+        self.node.log(
+            f"discovery: watching at {self.address[0]}:{self.address[1]} from generation {self.generation}"
+        )
         if call.transport is None:
             self._failed("connection lost")
         else:
@@ -170,7 +187,7 @@
         except Exception as error:
             self._failed(f"malformed answer: {error}")
             return
-        self.first = self.resumed = False
+        self.first = self.resumed = self.whole = False
         self.wait_us = max(self.shortest_us, self.wait_us * 7 // 8)
         self._stop_timer()
         if not call.keep and call.transport is not None:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -183,6 +183,7 @@
         self.full = False
         self.raw: bytes | None = None
         self.silent = False
+        self.ending = False  # each answer is its connection's last
         self.mute: list[socket.socket] = []  # connections that have died without a word
         self.calls: list[str] = []
         self.times: list[float] = []
@@ -205,6 +206,10 @@
             path = line.split(" ")[1]
             self.calls.append(path)
             self.times.append(time.monotonic())
+            if path == "/v1/servers" and self.raw is None:
+                body = {"generation": self.generation, "reset": True, "instances": self.rows}
+                conn.sendall(answer(200, json.dumps(body).encode()))
+                continue
             query = dict(p.split("=") for p in path.partition("?")[2].split("&"))
             since, wait = int(query["since"]), int(query["timeout_ms"]) / 1000
             if self.raw is not None:
@@ -217,6 +222,9 @@
                 rows = self.changes if self.generation > since else []
                 body = {"generation": self.generation, "reset": self.full and bool(rows), "instances": rows}
             conn.sendall(answer(200, json.dumps(body).encode()))
+            if self.ending:
+                conn.shutdown(socket.SHUT_RDWR)
+                return
 
 
 class Node:
@@ -273,6 +281,13 @@
     def files(self) -> int:
         return len(os.listdir(f"/proc/{self.process.pid}/fd"))
 
+    def reload(self, discovery: tuple[str, int]) -> None:
+        """Replace the configuration by one that names another address of discovery."""
+        path = Path(self.env["ROUTER_CONFIG"])
+        config = json.loads(path.read_text())
+        path.write_text(json.dumps({**config, "discovery": text(discovery)}))
+        self.process.send_signal(signal.SIGHUP)
+
     def stop(self) -> int:
         self.process.send_signal(signal.SIGTERM)
         return self.process.wait(PATIENCE)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -235,6 +235,69 @@
         node.close()
 
 
+def test_sighup_moves_the_watch_to_the_new_address_of_discovery() -> None:
+    """SIGHUP had no handler and ended the node, with every request that it had taken."""
+    def slowly(sock: socket.socket, n: int) -> None:
+        time.sleep(0.3)
+        sock.sendall(answer())
+
+    with running(slowly, None) as node:
+        one, two = node.backends
+        wait_for(lambda: node.discovery.calls)
+        second = Discovery([one.row(lifecycle="draining"), two.row()])
+        second.generation = 2  # a discovery of its own counts in its own way
+        try:
+            busy = [node.client() for _ in range(6)]
+            for client in busy:
+                client.send(client.head())
+            node.reload(second.address)
+            wait_for(lambda: any("since=2" in call for call in second.calls))
+            node.discovery.close()
+            assert [client.read().status for client in busy] == [200] * 6
+            before = len(one.requests)
+            assert all(busy[0].ask().status == 200 for _ in range(12))
+            assert len(one.requests) == before  # what only the new one knows
+            second.tell([one.row(), two.row(lifecycle="draining")])
+            wait_for(lambda: any("since=3" in call for call in second.calls))
+            before = len(two.requests)
+            assert all(busy[0].ask().status == 200 for _ in range(4))
+            assert len(two.requests) == before
+        finally:
+            second.close()
+
+
+@pytest.mark.parametrize("config", ["", "{", "[]", '{"seed": "1"}', None])
+def test_a_bad_configuration_on_sighup_leaves_the_node_on_the_old_one(config: str | None) -> None:
+    with running(None) as node:
+        wait_for(lambda: node.discovery.calls)
+        if config is None:
+            node.reload(("nowhere", 0))
+        else:
+            Path(node.env["ROUTER_CONFIG"]).write_text(config)
+            node.process.send_signal(signal.SIGHUP)
+        wait_for(lambda: "sumachub: " in node.log.read_text())
+        assert node.log.read_text().count("sumachub: ") == 1
+        assert "Traceback" not in node.log.read_text()
+        calls = len(node.discovery.calls)
+        wait_for(lambda: len(node.discovery.calls) > calls)
+        assert node.client().ask().status == 200
+
+
+def test_the_files_discovery_is_newer_than_the_environments() -> None:
+    with running(None) as node:
+        wait_for(lambda: node.discovery.calls)
+        second = Discovery([node.backends[0].row()])
+        try:
+            node.reload(second.address)
+            wait_for(lambda: second.calls)
+            node.stop()
+            calls = len(second.calls)
+            node.start()
+            wait_for(lambda: len(second.calls) > calls)
+        finally:
+            second.close()
+
+
 # ---------------------------------------------------------------- peers
 
 
