Give back a body's part of the budget when its request goes no further

Seen: by reading, after the same budget leaked through requests held for good. Twenty clients that announce a body of 1 MB and leave, or spoil it in the middle, on a node of 64 MB: from the tenth on every body is answered 503, for as long as the node lives. Ruled out: Node._forget (gives back what a whole request held) and on_message_complete (a refused one). Lines: clients.Client._drop_incoming set the size to 0 without telling the budget. Test: test_a_body_that_never_ends_gives_back_what_was_set_aside_for_it (both ways fail without the change).

--- a/sumachub/node/clients.py
+++ b/sumachub/node/clients.py
@@ -300,6 +300,9 @@
     def _drop_incoming(self) -> None:
         r, self.incoming = self.incoming, None
         if r is not None:
+            # What was set aside for its body is free again; else clients that leave half-way through one
+            # use up the budget, and all bodies are turned away.
+            self.server.budget.give_back(r.size)
             r.size, r.body = 0, []
 
     # ------------------------------------------------------------ an answer goes out
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -111,6 +111,23 @@
         assert node.backends[0].requests == []
 
 
+@pytest.mark.parametrize("rest", [b"x", b"Z"])
+def test_a_body_that_never_ends_gives_back_what_was_set_aside_for_it(rest: bytes) -> None:
+    """Clients that left within a body kept its part of the budget: bodies were turned away for good."""
+    with running(None, memory_mb=64) as node:
+        for _ in range(20):
+            client = node.client()
+            head = client.head("pay", bytes(1_000_000))
+            if rest == b"Z":  # no chunk's length: refused in the middle of a body
+                head = head.replace(b"Content-Length: 1000000", b"Transfer-Encoding: chunked")
+                client.send(head + b"f4240\r\n" + bytes(1_000_000) + b"\r\n" + rest)
+                assert client.read().status == 400
+            else:
+                client.send(head + rest)
+            client.close()
+        wait_for(lambda: node.client().ask("pay", bytes(1_000_000)).status == 200)
+
+
 @pytest.mark.parametrize("changes", [
     {"X_Call_Id": ""}, {"X_Call_Id": "x" * 300}, {"X_Budget": ""}, {"X_Budget": "soon"}, {"X_Budget": "12"},
     {"X_Budget": "-5m"}, {"X_Budget": "nanm"}, {"X_Budget": "infu"},
