Hear what discovery said before it ended a watch's connection

Seen: over loopback, a watch whose connection is reset, or whose answer is its connection's last, is followed by silence until the wait and 0.75 s have passed, and the news in that answer is dropped. Ruled out: the module's pause (it was never told of a failure) and the parser (the answer was read whole). Lines: discovery.Call.connection_lost made its owner forget the call (Discovery.lost) before the answer, which is looked at in the next turn; Discovery.answered then took it for a stranger's. Test: test_a_watch_that_discovery_ends_is_begun_anew_at_once (both ways fail without the change).

--- a/sumachub/node/discovery.py
+++ b/sumachub/node/discovery.py
@@ -72,9 +72,10 @@
             self._done(bytes(self.body) if status == 200 else None, f"status {status}")
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self._done(None, "connection lost")
+        # It stays its owner's call: the answer before the end, or the failure, is still to be looked at.  One
+        # given up here would be passed over, and the watch be dead until its wait had run out.
         self.transport = None
-        self.owner.lost(self)
+        self._done(None, "connection lost")
 
     def _done(self, body: bytes | None, reason: str) -> None:
         if self.waiting:
@@ -195,10 +196,6 @@
             call.transport.abort()
         self._ask()
 
-    def lost(self, call: Call) -> None:
-        if call is self.call:
-            self.call = None
-
     def _failed(self, reason: str) -> None:
         self.node.log(f"discovery: {reason}")
         self._drop()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -24,6 +24,7 @@
     Script,
     answer,
     free_address,
+    reset,
     running,
     wait_for,
 )
@@ -185,6 +186,24 @@
         assert len(one.requests) == before
 
 
+@pytest.mark.parametrize("news", [False, True])
+def test_a_watch_that_discovery_ends_is_begun_anew_at_once(news: bool) -> None:
+    """An end of the connection hid the answer before it, or the failure, until the wait had run out."""
+    with running(None, None, ask_every_us=60_000_000) as node:
+        one = node.backends[0]
+        wait_for(lambda: node.discovery.calls)
+        if news:
+            node.discovery.ending = True
+            node.discovery.tell([one.row(lifecycle="draining")])
+            wait_for(lambda: "Partial list 6" in node.log.read_text())
+            wait_for(lambda: any("since=6" in call for call in node.discovery.calls))
+        else:
+            reset(node.discovery.open[0])
+            wait_for(lambda: len(node.discovery.calls) > 1)
+            assert "discovery: connection lost" in node.log.read_text()
+        assert "no answer" not in node.log.read_text()
+
+
 def test_an_overloaded_discovery_is_called_less_often() -> None:
     with running(None, ask_every_us=10_000_000) as node:
         node.discovery.raw = answer(503)
