Let a node's first answers raise its capacity, not shut it

A probe of the first ticks: about five answers in, late 0.86, K at a quarter of what is offered, ACC 0.00; half a second later late 0.3, and half the load had been turned away. Ruled out: starts (all backends warm), health (1.00 everywhere), the connection pool (not at its limit). Lines: decide.Capacity._learn_k. K begins at nothing and jumps to what the first evidence allows, however little that is; with late 0.86 that is under what is carried. While evidence is younger than its own memory (EVIDENCE_US) it now may raise K but not lower it under what brings ACC to its floor. No constant has changed.

--- a/sumachub/decide.py
+++ b/sumachub/decide.py
@@ -253,6 +253,7 @@
         self.served_work = 0
         self.late_num = self.late_den = 0.0
         self.pressure = 0.0
+        self.proven = 0  # us in which there was evidence of lateness or promptness
         self.typical_work = 10_000.0  # work of a typical request, us
         self.typical_own = 50_000.0  # the part of it beyond the floor
         self.mean_load = 0.0
@@ -375,8 +376,12 @@
 
     def _learn_k(self, carried: float, offered: float, dt: int) -> None:
         edge = 1.0 / (1.0 - ACC_FLOOR)  # at CRITICAL, all that is asked brings ACC just to its floor
-        want = max(carried, offered) * min(4.0, max(0.1, edge + K_SLOPE * (CRITICAL - self.pressure)))
-        if want > self.k and self.acc > ACC_FLOOR:
+        # A handful of first answers, on cold connections, says nothing of what a node can carry: K learned
+        # from them alone made it refuse all, and one that refuses all learns slowly.
+        young = self.proven < EVIDENCE_US
+        least = edge if young else 0.1
+        want = max(carried, offered) * min(4.0, max(least, edge + K_SLOPE * (CRITICAL - self.pressure)))
+        if want > self.k and (young or self.acc > ACC_FLOOR):
             self.k = want  # all that is asked is answered promptly: a jump of it is no overload
         else:
             self.k += min(1.0, dt / K_LAG_US) * (want - self.k)
@@ -392,6 +397,8 @@
 
     def _learn_pressure(self, dt: int) -> None:
         fade = max(0.0, 1.0 - dt / EVIDENCE_US)
+        if self.late_den > 0.0:
+            self.proven += dt
         self.pressure = self.late_num / max(self.late_den, self.typical_work)
         self.late_num *= fade
         self.late_den *= fade
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -334,6 +334,22 @@
             assert node.client().ask().status == 200
 
 
+def test_a_nodes_first_answers_do_not_make_it_refuse() -> None:
+    """What a new node can carry was learned from its first few answers: late or full ones closed it."""
+    full = answer(503, b"", X_Rejected="1")
+
+    def once_full(sock: socket.socket, n: int) -> None:
+        sock.sendall(full if n == 1 else answer())
+
+    with running(*[once_full] * 5) as node:
+        client = node.client()
+        statuses = []
+        for _ in range(30):
+            statuses.append(client.ask().status)
+            time.sleep(0.05)
+        assert statuses == [200] * 30
+
+
 # ---------------------------------------------------------------- restarts
 
 
