--- a/sumachub/decide.py
+++ b/sumachub/decide.py
@@ -117,7 +117,6 @@
     __slots__ = (
         "id", "tag", "zone", "kind", "cell", "usable", "started_at", "n", "out", "linger", "seen", "expected",
         "health", "warm", "nm", "nm_full", "peers", "trial_at", "trial_pause", "last_ok", "asked_at",
-        "broke",
     )
 
     def __init__(self, entry: BackendEntry) -> None:
@@ -142,7 +141,6 @@
         self.trial_at, self.trial_pause = 0, TRIAL_US[0]
         self.last_ok = -1
         self.asked_at = -1
-        self.broke = False  # a connection broke since it last answered
 
     def put_off_trial(self, now: int) -> None:
         self.trial_at = now + self.trial_pause
@@ -285,7 +283,6 @@
         if outcome is OK:
             b.health += 0.3 * (1.0 - b.health)
             b.last_ok = now
-            b.broke = False
             self.served_work += r.cost
             b.trial_pause = TRIAL_US[0]
             own = max(0.2 * r.expect, r.expect - FLOOR * r.cls.base)
@@ -308,11 +305,6 @@
         if outcome is FULL or (outcome is TIMEOUT and b.last_ok > now - latency):
             self.late_num += 2.0 * r.cost
             self.late_den += r.cost
-        if outcome is Outcome.RESET and not b.broke:
-            # One connection that breaks between answers says nothing of the backend.  Blamed for each, a
-            # fleet whose connections break now and then looks like a fraction of itself, and ACC refuses.
-            b.broke = True
-            return
         self.blame(b, factor, now)
 
     def blame(self, b: Backend, factor: float, now: int) -> None:
