Rename the package from sumachub to headspar

Need: the project is called headspar, the package still bore the inherited name.

Nothing else is touched.

--- a/sumachub/__main__.py
+++ b/headspar/__main__.py
@@ -1,4 +1,4 @@
-"""``python -m sumachub``: one real node, from its configuration to its exit status."""
+"""``python -m headspar``: one real node, from its configuration to its exit status."""
 
 from __future__ import annotations
 
@@ -12,12 +12,12 @@
 
 import uvloop
 
-from sumachub.config import Address, Config, ConfigError, load_config
-from sumachub.node.backends import Backends, Budget
-from sumachub.node.clients import Client, Server
-from sumachub.node.core import Node, now_us
-from sumachub.node.discovery import Discovery
-from sumachub.node.peers import Peers
+from headspar.config import Address, Config, ConfigError, load_config
+from headspar.node.backends import Backends, Budget
+from headspar.node.clients import Client, Server
+from headspar.node.core import Node, now_us
+from headspar.node.discovery import Discovery
+from headspar.node.peers import Peers
 
 OWN_FILES = 24  # standard streams, loop, listener, discovery, peers, one to spare for each
 REFUSALS = 40  # connections beyond the clients' part, accepted only to be refused
@@ -81,7 +81,7 @@
     try:
         config = load_config(os.environ)
     except ConfigError as error:
-        print(f"sumachub: {error}", file=sys.stderr, flush=True)
+        print(f"headspar: {error}", file=sys.stderr, flush=True)
         return
     node.discovery.move(config.discovery)
 
@@ -104,7 +104,7 @@
     try:
         config = load_config(os.environ)
     except ConfigError as error:
-        print(f"sumachub: {error}", file=sys.stderr)
+        print(f"headspar: {error}", file=sys.stderr)
         return 2
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     if soft < config.sockets and (hard == resource.RLIM_INFINITY or hard >= config.sockets):
@@ -112,10 +112,10 @@
     try:
         uvloop.run(serve(config))
     except ConfigError as error:
-        print(f"sumachub: {error}", file=sys.stderr)
+        print(f"headspar: {error}", file=sys.stderr)
         return 2
     except OSError as error:
-        print(f"sumachub: cannot listen on {config.listen[0]}:{config.listen[1]}: {error}", file=sys.stderr)
+        print(f"headspar: cannot listen on {config.listen[0]}:{config.listen[1]}: {error}", file=sys.stderr)
         return 1
     return 0
 
--- a/sumachub/adapter.py
+++ b/headspar/adapter.py
@@ -1,4 +1,4 @@
-"""The simulator's wire to ``sumachub.interface`` and back.  No decision is taken here.
+"""The simulator's wire to ``headspar.interface`` and back.  No decision is taken here.
 
 Reads batches of tab-separated lines on standard input, keeps one ``Balancer`` for each instance, writes
 one reply for each batch.  A line that cannot be understood, or an exception, ends the run with a message
@@ -11,8 +11,8 @@
 from collections.abc import Callable, Iterable
 from typing import BinaryIO
 
-from sumachub.decide import Balancer
-from sumachub.interface import (
+from headspar.decide import Balancer
+from headspar.interface import (
     Action,
     AttemptEnded,
     BackendEntry,
@@ -36,7 +36,7 @@
     TimerFired,
     Watch,
 )
-from sumachub.settings import parse_settings
+from headspar.settings import parse_settings
 
 HINT_VALID, CLIENT_REPEAT, WRITE = 1, 2, 4
 OUTCOMES = {str(int(o)): o for o in Outcome}
@@ -232,7 +232,7 @@
             raise WireError(f"input ended inside a batch, after {batch[-1][:200]!r}")
     except Exception as error:  # the wire's contract: say what went wrong, then stop
         text = f"{type(error).__name__}: {error}".replace("\n", " ").replace("\t", " ")
-        print(f"sumachub.adapter: {text}", file=sys.stderr)
+        print(f"headspar.adapter: {text}", file=sys.stderr)
         out.write(f"bail_out\t{text}\n".encode())
         out.flush()
         return 1
@@ -240,7 +240,7 @@
 
 
 def main() -> int:
-    """Entry point of ``python -m sumachub.adapter``."""
+    """Entry point of ``python -m headspar.adapter``."""
     return serve(sys.stdin.buffer, sys.stdout.buffer)
 
 
--- a/sumachub/config.py
+++ b/headspar/config.py
@@ -8,8 +8,8 @@
 from pathlib import Path
 from typing import Any
 
-from sumachub.interface import Settings
-from sumachub.settings import SettingsError, read_settings
+from headspar.interface import Settings
+from headspar.settings import SettingsError, read_settings
 
 Address = tuple[str, int]
 
--- a/sumachub/decide.py
+++ b/headspar/decide.py
@@ -1,4 +1,4 @@
-"""Every decision of a sumachub node.  The types are in ``sumachub/interface.py``.
+"""Every decision of a headspar node.  The types are in ``headspar/interface.py``.
 
 The mechanism is that of Sharifian, Motamedi and Akbari, "Estimation-Based Load-Balancing with Admission
 Control for Cluster Web Servers".  Names are the paper's:
@@ -37,7 +37,7 @@
 from math import exp
 from zlib import crc32
 
-from sumachub.interface import (
+from headspar.interface import (
     Action,
     AttemptEnded,
     BackendEntry,
--- a/sumachub/interface.py
+++ b/headspar/interface.py
@@ -1,6 +1,6 @@
 """The types between a proxy node and its decisions: settings, events in, actions out.
 
-A node builds ``Balancer(settings, seed)`` (see ``sumachub.decide``) and calls ``handle(now_us, events)``
+A node builds ``Balancer(settings, seed)`` (see ``headspar.decide``) and calls ``handle(now_us, events)``
 with what has happened; the returned actions take effect at that time, in order.  All times are whole
 microseconds on one clock that only advances.  Nothing here decides anything.
 """
--- a/sumachub/node/__init__.py
+++ b/headspar/node/__init__.py
@@ -1,4 +1,4 @@
-"""The real node: sockets on one side, ``sumachub.decide.Balancer`` on the other.
+"""The real node: sockets on one side, ``headspar.decide.Balancer`` on the other.
 
 core       requests, attempts, timers, deadlines; the only caller of ``Balancer.handle``
 clients    the listener, client connections, /healthz
--- a/sumachub/node/backends.py
+++ b/headspar/node/backends.py
@@ -12,9 +12,9 @@
 
 import httptools
 
-from sumachub.config import Address
-from sumachub.interface import Outcome
-from sumachub.node.core import Attempt, Node, now_us
+from headspar.config import Address
+from headspar.interface import Outcome
+from headspar.node.core import Attempt, Node, now_us
 
 WHOLE = 64 * 1024  # answers up to this size are held whole, so that a broken one can be tried again
 MAX_BODY = 32 * 1024 * 1024
--- a/sumachub/node/clients.py
+++ b/headspar/node/clients.py
@@ -13,11 +13,11 @@
 
 import httptools
 
-from sumachub.node.backends import MAX_BODY, MAX_HEAD, Budget
-from sumachub.node.core import Node, Request, now_us
+from headspar.node.backends import MAX_BODY, MAX_HEAD, Budget
+from headspar.node.core import Node, Request, now_us
 
 if TYPE_CHECKING:
-    from sumachub.node.backends import Connection
+    from headspar.node.backends import Connection
 
 REASONS = {
     200: "OK", 400: "Bad Request", 405: "Method Not Allowed", 408: "Request Timeout",
--- a/sumachub/node/core.py
+++ b/headspar/node/core.py
@@ -14,9 +14,9 @@
 from heapq import heappop, heappush
 from typing import TYPE_CHECKING
 
-from sumachub.config import Config
-from sumachub.decide import Balancer
-from sumachub.interface import (
+from headspar.config import Config
+from headspar.decide import Balancer
+from headspar.interface import (
     AttemptEnded,
     BackendList,
     CancelAttempt,
@@ -37,10 +37,10 @@
 )
 
 if TYPE_CHECKING:
-    from sumachub.node.backends import Backends, Connection
-    from sumachub.node.clients import Client
-    from sumachub.node.discovery import Discovery
-    from sumachub.node.peers import Peers
+    from headspar.node.backends import Backends, Connection
+    from headspar.node.clients import Client
+    from headspar.node.discovery import Discovery
+    from headspar.node.peers import Peers
 
 GRAIN_US = 2_000
 LOG_LINES = 20  # of the node's own, in each LOG_SPAN_US
--- a/sumachub/node/discovery.py
+++ b/headspar/node/discovery.py
@@ -15,10 +15,10 @@
 
 import httptools
 
-from sumachub.config import Address, ConfigError, parse_address
-from sumachub.interface import BackendEntry, BackendList, Health, ListKind
-from sumachub.node.backends import Backends
-from sumachub.node.core import Node, now_us
+from headspar.config import Address, ConfigError, parse_address
+from headspar.interface import BackendEntry, BackendList, Health, ListKind
+from headspar.node.backends import Backends
+from headspar.node.core import Node, now_us
 
 # What discovery has to tell a call that waits counts as told 2 s later, heard or not, and from then on runs
 # the drains' grace.  A connection that has gone silent shows only when a wait runs out with no answer: wait,
--- a/sumachub/node/peers.py
+++ b/headspar/node/peers.py
@@ -5,8 +5,8 @@
 import asyncio
 from typing import Any, cast
 
-from sumachub.config import Address
-from sumachub.node.core import Node
+from headspar.config import Address
+from headspar.node.core import Node
 
 MOST = 256
 
--- a/sumachub/settings.py
+++ b/headspar/settings.py
@@ -5,7 +5,7 @@
 import json
 from typing import Any
 
-from sumachub.interface import Effect, Group, RequestClass, Settings, Tenant
+from headspar.interface import Effect, Group, RequestClass, Settings, Tenant
 
 
 class SettingsError(ValueError):
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from sumachub.interface import (
+from headspar.interface import (
     BackendEntry,
     BackendList,
     Effect,
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -258,7 +258,7 @@
 
     def start(self, healthy: bool = True) -> None:
         with self.log.open("ab") as log:
-            command = [sys.executable, "-m", "sumachub"]
+            command = [sys.executable, "-m", "headspar"]
             self.process = subprocess.Popen(command, cwd=ROOT, env=self.env, stderr=log)
         if healthy:
             wait_for(lambda: self.health() == 200)
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -12,8 +12,8 @@
 
 import pytest
 
-from sumachub.adapter import serve
-from sumachub.settings import SettingsError, parse_settings
+from headspar.adapter import serve
+from headspar.settings import SettingsError, parse_settings
 
 ROOT = Path(__file__).resolve().parent.parent
 SETTINGS = {
@@ -79,7 +79,7 @@
 def run(text: str, hash_seed: str = "0") -> str:
     env = dict(os.environ, PYTHONHASHSEED=hash_seed, PYTHONPATH=str(ROOT))
     done = subprocess.run(
-        [sys.executable, "-m", "sumachub.adapter"],
+        [sys.executable, "-m", "headspar.adapter"],
         input=text.encode(),
         capture_output=True,
         env=env,
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from sumachub import Balancer
-from sumachub.decide import (
+from headspar import Balancer
+from headspar.decide import (
     ACC_FLOOR,
     Admission,
     Attempt,
@@ -22,7 +22,7 @@
     may_refuse,
     may_send,
 )
-from sumachub.interface import (
+from headspar.interface import (
     AttemptEnded,
     BackendList,
     ListKind,
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -36,7 +36,7 @@
     base = {k: v for k, v in os.environ.items() if not k.startswith("ROUTER_")}
     full = {"ROUTER_NAME": "n0", "ROUTER_LISTEN": "127.0.0.1:1", "ROUTER_DISCOVERY": "127.0.0.1:1",
             "ROUTER_CONFIG": str(path), **env}
-    return subprocess.run([sys.executable, "-m", "sumachub"], cwd=ROOT, capture_output=True, text=True,
+    return subprocess.run([sys.executable, "-m", "headspar"], cwd=ROOT, capture_output=True, text=True,
                           env={**base, **{k: v for k, v in full.items() if v}}, timeout=30)
 
 
@@ -81,7 +81,7 @@
         assert done.returncode and "ROUTER_CONFIG" in done.stderr
     for field in ("seed", "limits", "known", "settings"):
         done = start(tmp_path, {}, {k: v for k, v in good_config().items() if k != field})
-        assert done.returncode and done.stderr.startswith(f"sumachub: {field}")
+        assert done.returncode and done.stderr.startswith(f"headspar: {field}")
 
 
 def test_an_address_in_use_is_said(tmp_path: Path) -> None:
@@ -294,8 +294,8 @@
         else:
             Path(node.env["ROUTER_CONFIG"]).write_text(config)
             node.process.send_signal(signal.SIGHUP)
-        wait_for(lambda: "sumachub: " in node.log.read_text())
-        assert node.log.read_text().count("sumachub: ") == 1
+        wait_for(lambda: "headspar: " in node.log.read_text())
+        assert node.log.read_text().count("headspar: ") == 1
         assert "Traceback" not in node.log.read_text()
         calls = len(node.discovery.calls)
         wait_for(lambda: len(node.discovery.calls) > calls)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -8,9 +8,9 @@
 from hypothesis import settings as hsettings
 from hypothesis import strategies as st
 
-from sumachub import Balancer
-from sumachub.decide import cost_class
-from sumachub.interface import (
+from headspar import Balancer
+from headspar.decide import cost_class
+from headspar.interface import (
     AttemptEnded,
     BackendEntry,
     BackendList,
