Read the body of a request that asks for an upgrade; it hid other requests

Cause: the parser stops at `Connection: Upgrade` and leaves the body out; what came behind was read as the next request, so a `GET` hidden in a POST's body went on to a server.

Change: nobody offers an upgrade, so it is ignored (RFC 9110 section 7.8): a new parser is told the request's framing (length or chunks, and whether the connection ends) and reads the body.

--- a/headspar/node/clients.py
+++ b/headspar/node/clients.py
@@ -76,8 +76,7 @@
     __slots__ = (
         "server", "node", "transport", "parser", "current", "queue", "touched", "closing", "over", "paused",
         "url", "headers", "incoming", "reading", "head_size", "bad", "source", "close_after", "chunked",
-        "deaf", "served",
-        "began",
+        "deaf", "served", "began", "twice", "framing",
     )
 
     def __init__(self, server: Server) -> None:
@@ -105,6 +104,8 @@
         self.incoming: Request | None = None
         self.head_size = 0
         self.bad = 0
+        self.twice = False  # a header that may come once came again
+        self.framing = b""  # a head that makes a new parser read this request's body
 
     # ------------------------------------------------------------ the connection
 
@@ -140,10 +141,7 @@
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade as upgrade:
-            self.parser = httptools.HttpRequestParser(self)
-            rest = data[upgrade.args[0]:]
-            if rest:
-                self.data_received(rest)
+            self._read_on(data[upgrade.args[0]:])
         except httptools.HttpParserError as error:
             cause = error.__context__
             if isinstance(error, httptools.HttpParserCallbackError) and cause is not None:
@@ -161,6 +159,17 @@
             if len(self.queue) > READ_AHEAD and self.transport is not None and not self.deaf:
                 self.transport.pause_reading()
 
+    def _read_on(self, rest: bytes) -> None:
+        """The parser stops at an upgrade and leaves out the body.  We offer none, so it is ignored (RFC 9110
+        section 7.8) and the body belongs to the request: a new parser is told its framing and reads on.
+        Taken for the next request, a body could hide one."""
+        self.parser = httptools.HttpRequestParser(self)
+        if self.framing:
+            self.parser.feed_data(self.framing)
+            self.framing = b""
+        if rest:
+            self.data_received(rest)
+
     # ------------------------------------------------------------ a request comes in
 
     def on_message_begin(self) -> None:
@@ -169,14 +178,17 @@
             self.server.idle.pop(self, None)
 
     def on_url(self, url: bytes) -> None:
-        self.url += url
+        if not self.framing:
+            self.url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self.headers[name.lower()] = value.strip()
 
     def on_headers_complete(self) -> None:
-        if self.bad or self.deaf:
+        if self.bad or self.deaf or self.framing:
             return
+        if self.parser.should_upgrade():
+            self._frame()
         r = self.incoming = Request(self)
         parser, headers = self.parser, self.headers
         method = parser.get_method()
@@ -204,6 +216,18 @@
                 elif not self.queue and self.current is None:
                     self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
+    def _frame(self) -> None:
+        """Keep the framing of a request whose body the parser will leave out."""
+        length, coding = self.headers.get(b"content-length"), self.headers.get(b"transfer-encoding")
+        if coding is not None:
+            framing = b"Transfer-Encoding: " + coding
+        elif length is not None and int(length):
+            framing = b"Content-Length: " + length
+        else:
+            return
+        close = b"" if self.parser.should_keep_alive() else b"Connection: close\r\n"
+        self.framing = b"POST / HTTP/1.1\r\n" + close + framing + b"\r\n\r\n"
+
     def _read(self, r: Request, method: bytes) -> int:
         """Fill in the request from its head; the status to answer if it cannot be done, or 0."""
         get = self.headers.get
@@ -248,7 +272,7 @@
                 self.bad = 503
 
     def on_message_complete(self) -> None:
-        if self.deaf:
+        if self.deaf or self.framing:
             return
         r, bad = self.incoming, self.bad
         self.incoming = None
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -236,3 +236,57 @@
                 client.send(client.head())
             bodies += [client.read().body for client in clients]
         assert len(set(bodies)) == 100
+
+
+# ---------------------------------------------------------------- an upgrade that nobody offers
+
+
+@pytest.mark.parametrize("chunked", [False, True])
+@pytest.mark.parametrize(("protocol", "connection"), [
+    ("websocket", "Upgrade"), ("h2c", "Upgrade, HTTP2-Settings"), ("h2c", "close, Upgrade"),
+    ("TLS/1.0", "keep-alive, upgrade"),
+])
+@pytest.mark.parametrize("pieces", [1, 7])
+def test_an_upgrade_is_ignored_and_its_body_hides_no_request(
+    protocol: str, connection: str, chunked: bool, pieces: int
+) -> None:
+    """The parser stops at an upgrade: the body was read as the next request and passed on."""
+    with running(None) as node:
+        client = node.client()
+        hidden = client.head(path="/api/evil")
+        framing = {"Transfer_Encoding": "chunked", "Content_Length": ""} if chunked else {}
+        body = b"%x\r\n%b\r\n0\r\n\r\n" % (len(hidden), hidden) if chunked else hidden
+        data = client.head("pay", hidden, Connection=connection, Upgrade=protocol, **framing) + body
+        step = -(-len(data) // pieces)
+        for at in range(0, len(data), step):
+            client.send(data[at:at + step])
+            if pieces > 1:
+                time.sleep(0.01)
+        assert client.read().status == 200
+        if "close" in connection:
+            assert client.ended()
+        else:
+            assert client.ask().status == 200
+        got = node.backends[0].requests
+        assert [line.split(" ")[1] for line, _, _ in got if "k1" not in line] == []
+        assert got[0][2] == hidden
+        assert len(got) == (1 if "close" in connection else 2)
+
+
+def test_an_upgrade_with_no_body_is_answered_and_the_next_request_too() -> None:
+    with running(None) as node:
+        client = node.client()
+        head = client.head(Connection="Upgrade", Upgrade="websocket")
+        client.send(head + client.head(path="/api/k2"))
+        assert [client.read().status, client.read().status] == [200, 200]
+        assert len(node.backends[0].requests) == 2
+
+
+def test_a_rejected_upgrade_has_its_body_dropped() -> None:
+    with running(None) as node:
+        client = node.client()
+        hidden = client.head(path="/api/evil")
+        client.send(client.head("pay", hidden, Connection="Upgrade", Upgrade="h2c", X_Budget="x") + hidden)
+        assert client.read().status == 400
+        assert client.ask().status == 200
+        assert len(node.backends[0].requests) == 1
