Turn away requests that contradict their class: a keyed one without its key

Cause: a request of a keyed class without `Idempotency-Key` was handled as repeatable. Before servers that reset after reading, one payment went out six times, each of which may have run. Nor was a method compared with its class: a POST of a class that is safe to repeat was repeated too.

Change: `node/intake.py` states what a request must bring by its class, without I/O, for every front alike; what contradicts it is answered 400 and reaches no server. Weighed against handling it as unsafe: that hides the caller's mistake until a connection breaks and then fails a payment that its key would have saved.

--- a/headspar/node/clients.py
+++ b/headspar/node/clients.py
@@ -15,6 +15,7 @@
 
 from headspar.node.backends import MAX_BODY, MAX_HEAD, Budget
 from headspar.node.core import Node, Request, now_us
+from headspar.node.intake import Intake
 
 if TYPE_CHECKING:
     from headspar.node.backends import Connection
@@ -246,6 +247,10 @@
         r.hint_us = read_hint(get(b"x-call-cost"))
         r.is_repeat = get(b"x-again") == b"1"
         key = get(b"idempotency-key")
+        objection = self.server.intake.objection(r.cls, bool(key), method == b"POST")
+        if objection is not None:
+            self.node.log(f"client: {call_id[:60]!r} of class {r.cls[:60]!r}: {objection}")
+            return 400
         if key is not None:
             r.extra = b"Idempotency-Key: " + key + b"\r\n"
         kind = get(b"content-type")
@@ -461,7 +466,7 @@
         self.ticks = 0
         self.draining = False
         self.ready = False
-        self.listener: asyncio.Server | None = None
+        self.intake = Intake(node.settings)
 
     def healthy(self) -> bool:
         return self.ready and not self.draining
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from tests.loopback import Client, Script, answer, running, wait_for
+from tests.loopback import Client, Script, answer, reset, running, wait_for
 
 
 def test_served_with_method_path_query_body_and_ids_unchanged() -> None:
@@ -290,3 +290,39 @@
         assert client.read().status == 400
         assert client.ask().status == 200
         assert len(node.backends[0].requests) == 1
+
+
+# ---------------------------------------------------------------- what contradicts its class
+
+
+@pytest.mark.parametrize(("cls", "method", "key", "status"), [
+    ("look", "GET", None, 200), ("look", "POST", None, 400), ("look", "POST", "k", 400), ("look", "GET", "k", 200),
+    ("pay", "POST", "k", 200), ("pay", "POST", None, 400), ("pay", "POST", "  ", 400), ("pay", "GET", "k", 400),
+    ("crew", "POST", None, 200), ("crew", "GET", None, 400), ("nobody's", "POST", None, 200),
+])
+def test_a_request_that_contradicts_its_class_reaches_no_server(
+    cls: str, method: str, key: str | None, status: int
+) -> None:
+    with running(None) as node:
+        client = node.client()
+        lines = f"Idempotency-Key: {key}\r\n" if key is not None else ""
+        lines += "Content-Length: 2\r\n" if method == "POST" else ""
+        client.send(
+            f"{method} /api/x HTTP/1.1\r\nHost: x\r\nX-Call-Id: 1\r\nX-Call-Class: {cls}\r\n"
+            f"X-Budget: 9000m\r\n{lines}\r\n{'{}' if method == 'POST' else ''}".encode()
+        )
+        assert client.read().status == status
+        assert client.ask().status == 200  # the connection goes on
+        assert len(node.backends[0].requests) == (2 if status == 200 else 1)
+
+
+def test_a_payment_without_its_key_is_never_sent_before_servers_that_reset() -> None:
+    """It was taken for repeatable, and one went out six times, each of which may have run."""
+    def script(sock: socket.socket, n: int) -> bool:
+        reset(sock)
+        return False
+
+    with running(script, script, script) as node:
+        client = node.client()
+        assert client.ask("pay", b"{}", Idempotency_Key="").status == 400
+        assert sum(len(b.requests) for b in node.backends) == 0
