Answer 400 where a header with a meaning comes twice or Host is missing

Cause: of two X-Call-Id, Idempotency-Key, X-Budget, X-Call-Class or X-Caller the last one held silently, so that a node and whoever stands before it could mean different requests; a missing Host passed (RFC 9112 section 3.2 wants 400).

Change: these, X-Call-Cost, X-Again and Host may come once, the same value twice included. /healthz, which has no effect, stays as terse as it was.

--- a/headspar/node/clients.py
+++ b/headspar/node/clients.py
@@ -32,6 +32,11 @@
 SLOW_BODY_US = 20  # a byte; 50 kB a second
 CREEP = 12  # times as slow as that, and it is a stall though bytes come
 LINGER_TICKS = 2
+# Two values of one of these, even the same twice, leave open which one others on the way have read.
+ONCE = frozenset((
+    b"host", b"x-call-id", b"x-call-class", b"x-caller", b"x-budget", b"x-call-cost", b"x-again",
+    b"idempotency-key",
+))
 MAX_ID = 200
 SLOW_LOOK = 50  # of the slow ones are looked at for a newcomer
 READ_AHEAD = 16  # requests of one connection that may wait for an earlier one's answer
@@ -183,7 +188,10 @@
             self.url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self.headers[name.lower()] = value.strip()
+        name = name.lower()
+        if name in self.headers and name in ONCE and not self.framing:
+            self.twice = True
+        self.headers[name] = value.strip()
 
     def on_headers_complete(self) -> None:
         if self.bad or self.deaf or self.framing:
@@ -232,6 +240,9 @@
     def _read(self, r: Request, method: bytes) -> int:
         """Fill in the request from its head; the status to answer if it cannot be done, or 0."""
         get = self.headers.get
+        if self.twice or b"host" not in self.headers:
+            self.node.log("client: a header that may come once came twice, or Host is missing (RFC 9112 3.2)")
+            return 400
         call_id, budget = get(b"x-call-id", b""), read_budget(get(b"x-budget", b""))
         if not call_id or len(call_id) > MAX_ID or budget is None:
             self.node.log(f"client: unreadable X-Call-Id {call_id[:60]!r} or X-Budget {get(b'x-budget')!r}")
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -296,8 +296,10 @@
 
 
 @pytest.mark.parametrize(("cls", "method", "key", "status"), [
-    ("look", "GET", None, 200), ("look", "POST", None, 400), ("look", "POST", "k", 400), ("look", "GET", "k", 200),
-    ("pay", "POST", "k", 200), ("pay", "POST", None, 400), ("pay", "POST", "  ", 400), ("pay", "GET", "k", 400),
+    ("look", "GET", None, 200), ("look", "GET", "k", 200),
+    ("look", "POST", None, 400), ("look", "POST", "k", 400),
+    ("pay", "POST", "k", 200), ("pay", "POST", None, 400),
+    ("pay", "POST", "  ", 400), ("pay", "GET", "k", 400),
     ("crew", "POST", None, 200), ("crew", "GET", None, 400), ("nobody's", "POST", None, 200),
 ])
 def test_a_request_that_contradicts_its_class_reaches_no_server(
@@ -326,3 +328,34 @@
         client = node.client()
         assert client.ask("pay", b"{}", Idempotency_Key="").status == 400
         assert sum(len(b.requests) for b in node.backends) == 0
+
+
+# ---------------------------------------------------------------- headers that may come once
+
+
+@pytest.mark.parametrize("name", [
+    "X-Call-Id", "Idempotency-Key", "X-Budget", "X-Call-Class", "X-Caller", "X-Call-Cost", "X-Again", "Host",
+    "x-call-ID",
+])
+@pytest.mark.parametrize("same", [True, False])
+def test_a_header_with_a_meaning_that_comes_twice_is_400(name: str, same: bool) -> None:
+    with running(None) as node:
+        client = node.client()
+        head = client.head("pay", b"{}", X_Caller="t", X_Again="1").removesuffix(b"\r\n")
+        values = dict(line.split(b": ") for line in head.split(b"\r\n")[1:-1])
+        value = {k.lower(): v for k, v in values.items()}[name.lower().encode()]
+        again = name.encode() + b": " + (value if same else value + b"0") + b"\r\n\r\n"
+        client.send(head + again + b"{}")
+        assert client.read().status == 400
+        assert client.ask().status == 200
+        assert len(node.backends[0].requests) == 1
+
+
+def test_a_request_without_host_is_400() -> None:
+    with running(None) as node:
+        client = node.client()
+        assert client.ask(Host="").status == 400
+        assert client.ask().status == 200
+        assert len(node.backends[0].requests) == 1
+        client.send(b"GET /healthz HTTP/1.1\r\n\r\n")  # a check by hand has no effect and may be terse
+        assert client.read().status == 200
