--- /dev/null
+++ b/headspar/lab/plan.py
@@ -0,0 +1,308 @@
+"""Every arrival, server and fault of a run, drawn from a scenario and a seed; without I/O.
+
+The same scenario and seed give the same plan in every process, so callers and servers draw it each for
+themselves and nothing of it has to travel: a call's id is its index, and a server looks up the work that it
+stands for.  ``digest`` tells two plans apart.  Draws of different kinds come from generators of their own, so
+that a change of one does not shift the others.  Times are microseconds from the run's start.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import math
+import random
+from bisect import bisect
+from itertools import accumulate
+
+import msgspec
+
+from headspar.lab.scenario import Fault, Scenario, Servers, to_json
+
+SECOND = 1_000_000
+
+
+class ServerPlan(msgspec.Struct, frozen=True):
+    """One cash server.  ``capacity`` is its warm work in microseconds a second."""
+
+    id: str
+    site: str
+    machine: str
+    cell: int
+    cores: int
+    speed: float
+    slots: int
+    queue: int
+    connections: int
+    connection_cost_us: float
+    idle_us: int
+    silent: bool
+    cold_share: float
+    ramp_us: int
+    error_rate: float
+    starts_at: int  # -1: warm from before the run
+
+    @property
+    def capacity(self) -> float:
+        return self.cores * self.speed * SECOND
+
+
+class Call(msgspec.Struct, frozen=True, gc=False):
+    """One first try; a caller's retries are drawn from ``seed``."""
+
+    at: int
+    cls: int
+    agent: int
+    target: str
+    node: int
+    work_us: int
+    wait_us: int
+    hint_us: int
+    budget_us: int
+    leave_us: int  # the caller closes its connection so long after sending; 0: it stays
+    seed: int
+
+
+class Step(msgspec.Struct, frozen=True):
+    """One change that a fault makes, to servers (``s-…``), a node (``n…``) or discovery (``d``)."""
+
+    at: int
+    kind: str
+    targets: list[str]
+    value: float = 0.0
+    text: str = ""
+    share: float = 1.0
+
+
+class Plan(msgspec.Struct):
+    """All that is drawn.  ``ids`` of servers are unlike at each seed, so that none can be told by its name."""
+
+    seed: int
+    salt: int
+    servers: list[ServerPlan]
+    calls: list[Call]
+    steps: list[Step]
+    capacity: float
+    rps: float
+    quota_rps: float  # of all agents together
+
+    def digest(self) -> str:
+        return hashlib.sha256(msgspec.msgpack.encode(self)).hexdigest()
+
+
+def node_names(s: Scenario) -> list[str]:
+    return [f"n{i + 1}" for i in range(s.nodes.count)]
+
+
+def call_id(salt: int, index: int, attempt: int) -> str:
+    """The ``X-Call-Id`` of a caller's try: 16 hexadecimal digits."""
+    return f"{salt:06x}{index:08x}{attempt:02x}"
+
+
+def read_call_id(salt: int, text: str) -> tuple[int, int] | None:
+    """Index and try of a call, or None for an id that no caller of this run made."""
+    if len(text) != 16 or text[:6] != f"{salt:06x}":
+        return None
+    try:
+        return int(text[6:14], 16), int(text[14:], 16)
+    except ValueError:
+        return None
+
+
+def receipt_key(salt: int, index: int) -> str:
+    """The ``Idempotency-Key`` of a call and of all its tries."""
+    return f"{salt:06x}receipt{index:08x}"
+
+
+def body_of(index: int, size: int) -> bytes:
+    """A call's body, the same whoever works it out."""
+    return (f"{index:08x}".encode() * (size // 8 + 1))[:size]
+
+
+def _server(g: Servers, i: int, number: int, rng: random.Random, starts_at: int) -> ServerPlan:
+    return ServerPlan(
+        id=f"s-{number:03d}-{rng.getrandbits(24):06x}",
+        site=g.sites[i % len(g.sites)],
+        machine=g.machine,
+        cell=i // len(g.sites) // g.cell_size,
+        cores=g.cores,
+        speed=round(rng.uniform(*g.speed), 4),
+        slots=max(1, round(g.slots_per_core * g.cores)),
+        queue=round(g.queue_per_core * g.cores),
+        connections=g.connections,
+        connection_cost_us=g.connection_cost_us,
+        idle_us=int(g.idle_s * SECOND),
+        silent=g.idle_close == "silent",
+        cold_share=g.cold_share,
+        ramp_us=int(g.ramp_s * SECOND),
+        error_rate=g.error_rate,
+        starts_at=starts_at,
+    )
+
+
+def _servers(s: Scenario, seed: int) -> list[ServerPlan]:
+    rng = random.Random(f"{seed}/servers")
+    rows: list[ServerPlan] = []
+    for g in s.servers:
+        for i in range(g.count):
+            rows.append(_server(g, i, len(rows), rng, -1))
+    for f in s.faults:
+        if f.kind != "grow":
+            continue
+        assert f.servers is not None and f.over_s is not None
+        total = sum(g.count for g in s.servers)
+        more = max(1, round(f.servers if f.servers >= 1 else f.servers * total))
+        for i in range(more):
+            at = int((f.at_s + f.over_s * i / more) * SECOND)
+            rows.append(_server(s.servers[i % len(s.servers)], i // len(s.servers), len(rows), rng, at))
+    return rows
+
+
+def _steps(s: Scenario, seed: int, servers: list[ServerPlan]) -> list[Step]:
+    rng = random.Random(f"{seed}/faults")
+    first = [p.id for p in servers if p.starts_at < 0]
+    nodes = node_names(s)
+    steps: list[Step] = []
+    for f in s.faults:
+        at = int(f.at_s * SECOND)
+        end = at + int((f.for_s or 0.0) * SECOND)
+        chosen: list[str] = []
+        if f.kind == "grow":
+            continue  # those servers' starts tell it all
+        if f.servers is not None:
+            count = int(f.servers) if f.servers >= 1 else max(1, round(f.servers * len(first)))
+            chosen = sorted(rng.sample(first, count))
+        if f.nodes is not None:
+            chosen = sorted(rng.sample(nodes, f.nodes))
+        steps += _of(f, at, end, chosen)
+    steps += [Step(p.starts_at, "start", [p.id]) for p in servers if p.starts_at >= 0]
+    steps.sort(key=lambda step: (step.at, step.kind, step.targets))
+    return steps
+
+
+def _of(f: Fault, at: int, end: int, chosen: list[str]) -> list[Step]:
+    back = at + int((f.back_s or 0.0) * SECOND)
+    share = 1.0 if f.share is None else f.share
+    if f.kind == "die":
+        rows = [Step(at, "die", chosen)]
+        return rows + ([Step(back, "start", chosen)] if f.back_s else [])
+    if f.kind == "vanish":
+        return [Step(at, "vanish", chosen), Step(end, "return", chosen)]
+    if f.kind == "drain":
+        gone = at + int((f.linger_s or 3.0) * SECOND)
+        rows = [Step(at, "drain", chosen), Step(gone, "die", chosen)]
+        return rows + ([Step(max(back, gone + 1), "start", chosen)] if f.back_s else [])
+    if f.kind in ("slow", "turn_away", "reset", "spoil", "hang", "idle_silent"):
+        value = f.factor if f.factor is not None else float(f.byte or 0)
+        text = f.how or f.where or ""
+        return [Step(at, f.kind, chosen, value, text, share), Step(end, "mend", chosen, text=f.kind)]
+    if f.kind in ("discovery_gone", "discovery_silent"):
+        return [Step(at, f.kind, ["d"]), Step(end, "discovery_back", ["d"])]
+    if f.kind in ("discovery_break", "discovery_move"):
+        return [Step(at, f.kind, ["d"])]
+    if f.kind in ("node_term", "node_kill"):
+        rows = [Step(at, f.kind, chosen)]
+        return rows + ([Step(back, "node_start", chosen)] if f.back_s else [])
+    if f.kind == "node_hup":
+        return [Step(at, f.kind, chosen)]
+    return []  # floods and hot keys are in the arrivals
+
+
+class _Rates:
+    """Arrivals a second as they change over the run."""
+
+    def __init__(self, s: Scenario, base: float, servers: list[ServerPlan], phase: float) -> None:
+        self.s, self.base, self.phase = s, base, phase
+        self.warm = sum(p.capacity for p in servers if p.starts_at < 0)
+        follows = any(f.kind == "grow" and f.traffic for f in s.faults)
+        self.grown = sorted((p.starts_at, p.capacity) for p in servers if p.starts_at >= 0) if follows else []
+        self.most = base * (1 + s.load.swing) * (1 + sum(c for _, c in self.grown) / self.warm)
+
+    def at(self, t: float) -> float:
+        load, whole = self.s.load, self.s.length_s
+        x = t / whole
+        shape = {"steady": 1.0, "ramp": 0.5 + 0.5 * x, "due-date": 1.0 - 0.6 * abs(2 * x - 1) ** 2}[load.shape]
+        wave = 1 + load.swing * math.sin(2 * math.pi * 2 * x + self.phase)
+        more = sum(c for at, c in self.grown if at <= t * SECOND) / self.warm
+        return self.base * shape * wave * (1 + more)
+
+
+def _calls(s: Scenario, seed: int, base: float, servers: list[ServerPlan]) -> list[Call]:
+    times = random.Random(f"{seed}/times")
+    draws = random.Random(f"{seed}/calls")
+    load = s.load
+    rates = _Rates(s, base, servers, times.uniform(0, 2 * math.pi))
+    starts: list[tuple[float, int | None, Fault | None]] = []
+    t = 0.0
+    while True:
+        t += times.expovariate(rates.most)
+        if t >= s.length_s:
+            break
+        if times.random() * rates.most < rates.at(t):
+            starts.append((t, None, None))
+    if load.bursts_per_s > 0:
+        t = times.expovariate(load.bursts_per_s)
+        while t < s.length_s:
+            agent = times.randrange(len(s.agents))
+            starts += [(t, agent, None)] * load.burst_size
+            t += times.expovariate(load.bursts_per_s)
+    names = [a.name for a in s.agents]
+    total = sum(a.share for a in s.agents)
+    for f in s.faults:
+        if f.kind != "flood":
+            continue
+        assert f.agent is not None and f.factor is not None and f.for_s is not None
+        agent = names.index(f.agent)
+        extra = base * s.agents[agent].share / total * max(0.0, f.factor - 1)
+        t = f.at_s
+        while extra > 0:
+            t += times.expovariate(extra)
+            if t >= min(s.length_s, f.at_s + f.for_s):
+                break
+            starts.append((t, agent, f))
+    starts.sort(key=lambda row: row[0])
+
+    classes = list(accumulate(c.share for c in s.classes))
+    agents = list(accumulate(a.share for a in s.agents))
+    keys = list(accumulate((i + 1) ** -load.zipf for i in range(load.keys)))
+    class_names = [c.name for c in s.classes]
+    hot = [f for f in s.faults if f.kind == "hot_key"]
+    calls = []
+    for t, agent_drawn, flood in starts:
+        if flood is not None and flood.classes:
+            j = class_names.index(draws.choice(flood.classes))
+        else:
+            j = bisect(classes, draws.random() * classes[-1])
+        a = bisect(agents, draws.random() * agents[-1]) if agent_drawn is None else agent_drawn
+        key = bisect(keys, draws.random() * keys[-1])
+        for f in hot:
+            assert f.for_s is not None and f.share is not None
+            if f.at_s <= t < f.at_s + f.for_s and draws.random() < f.share:
+                key = load.keys + draws.randrange(f.keys or 1)
+        c = s.classes[j]
+        work = draws.uniform(*c.work_ms) * load.work_scale * 1000
+        budget = c.deadline_ms * 1000 * draws.uniform(*s.callers.try_share)
+        leaves = draws.random() < s.callers.impatient
+        calls.append(Call(
+            at=int(t * SECOND), cls=j, agent=a, target=f"r{key:05d}", node=draws.randrange(s.nodes.count),
+            work_us=max(1, int(work)),
+            wait_us=int(draws.uniform(*c.wait_ms) * load.work_scale * 1000),
+            hint_us=max(1, int(work * math.exp(draws.gauss(0.0, load.hint_error)))),
+            budget_us=int(budget), leave_us=int(draws.uniform(0.02, 0.3) * budget) if leaves else 0,
+            seed=draws.getrandbits(32),
+        ))
+    return calls
+
+
+def draw(s: Scenario, seed: int) -> Plan:
+    """The plan of scenario ``s`` under ``seed``."""
+    servers = _servers(s, seed)
+    capacity = sum(p.capacity for p in servers if p.starts_at < 0)
+    shares = sum(c.share for c in s.classes)
+    mean = sum(c.share * sum(c.work_ms) / 2 for c in s.classes) / shares * s.load.work_scale * 1000
+    rps = s.load.rps or s.load.utilisation * capacity / mean
+    salt = int.from_bytes(hashlib.sha256(to_json(s) + f"{seed}".encode()).digest()[:3], "big")
+    return Plan(
+        seed=seed, salt=salt, servers=servers, calls=_calls(s, seed, rps, servers),
+        steps=_steps(s, seed, servers), capacity=capacity, rps=rps,
+        quota_rps=s.load.quota_of_capacity * capacity / mean,
+    )
--- /dev/null
+++ b/tests/lab/test_plan.py
@@ -0,0 +1,105 @@
+"""The plan: the same for the same seed, and what the scenario says."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from collections import Counter
+
+import pytest
+
+from headspar.lab.plan import Plan, body_of, call_id, draw, read_call_id, receipt_key
+from headspar.lab.scenario import parse
+
+BASE = 'name = "x"\nlength_s = 30\n[load]\nrps = 200\nswing = 0.0\n'
+FAULTS = '''
+[[faults]]
+at_s = 10
+kind = "die"
+servers = 0.23
+back_s = 8
+[[faults]]
+at_s = 10
+kind = "flood"
+agent = "kiosko-majes"
+factor = 20
+for_s = 10
+[[faults]]
+at_s = 5
+kind = "hot_key"
+share = 0.21
+for_s = 20
+[[faults]]
+at_s = 15
+kind = "grow"
+servers = 14
+over_s = 11
+traffic = true
+'''
+
+
+def plan(text: str = BASE + FAULTS, seed: int = 7) -> Plan:
+    return draw(parse(text), seed)
+
+
+def test_the_same_seed_gives_the_same_run_in_any_process() -> None:
+    code = ("import sys; from headspar.lab.plan import draw; from headspar.lab.scenario import parse; "
+            "print(draw(parse(sys.stdin.read()), 7).digest())")
+    there = subprocess.run([sys.executable, "-c", code], input=BASE + FAULTS, text=True, capture_output=True,
+                           check=True, timeout=60)
+    assert there.stdout.strip() == plan().digest()
+
+
+@pytest.mark.parametrize(("text", "seed"), [
+    (BASE + FAULTS, 8), (BASE.replace("200", "201") + FAULTS, 7), (BASE, 7),
+    (BASE + FAULTS.replace("0.23", "0.4"), 7),
+])
+def test_another_seed_or_scenario_gives_another_run(text: str, seed: int) -> None:
+    assert plan(text, seed).digest() != plan().digest()
+
+
+def test_a_fault_more_does_not_shift_the_servers() -> None:
+    assert plan(BASE).servers == plan().servers[:9]
+
+
+def test_arrivals_follow_rate_shares_flood_and_hot_key() -> None:
+    p = plan()
+    quiet = [c for c in p.calls if c.at < 5_000_000]
+    assert len(quiet) == pytest.approx(1000, rel=0.15)
+    names = [a.name for a in parse(BASE).agents]
+    kiosk = names.index("kiosko-majes")
+
+    def of_kiosk(start: int) -> int:
+        return sum(c.agent == kiosk and start <= c.at < start + 5_000_000 for c in p.calls)
+
+    assert of_kiosk(10_000_000) > 8 * of_kiosk(0)
+    hot = Counter(c.target for c in p.calls if 5_000_000 <= c.at < 10_000_000)
+    assert hot["r02000"] == pytest.approx(0.21 * sum(hot.values()), rel=0.3)
+    last = sum(c.at >= 27_000_000 for c in p.calls)
+    assert last > 1.8 * sum(c.at < 3_000_000 for c in p.calls)  # traffic follows the fleet's growth
+    assert [c.at for c in p.calls] == sorted(c.at for c in p.calls)
+
+
+def test_a_share_of_the_servers_dies_and_comes_back() -> None:
+    p = plan()
+    die = next(s for s in p.steps if s.kind == "die")
+    back = next(s for s in p.steps if s.kind == "start" and s.targets == die.targets)
+    assert len(die.targets) == 2 and (die.at, back.at) == (10_000_000, 18_000_000)
+    grown = [s for s in p.servers if s.starts_at >= 0]
+    assert len(grown) == 14 and min(s.starts_at for s in grown) == 15_000_000
+    assert max(s.starts_at for s in grown) < 26_000_000
+
+
+def test_utilisation_is_of_the_warm_capacity() -> None:
+    p = plan(BASE.replace("rps = 200", "utilisation = 0.5"))
+    worked = sum(c.work_us for c in p.calls) / 30
+    assert worked == pytest.approx(0.5 * p.capacity, rel=0.06)
+
+
+def test_ids_tell_index_and_try_and_nothing_else_is_read() -> None:
+    salt = plan().salt
+    assert read_call_id(salt, call_id(salt, 123456, 3)) == (123456, 3)
+    for other in ("", "x" * 16, call_id(salt ^ 1, 1, 0), call_id(salt, 1, 0) + "0", call_id(salt, 1, 0)[:-1] + "g"):
+        assert read_call_id(salt, other) is None
+    assert receipt_key(salt, 1) != receipt_key(salt, 2)
+    assert len(body_of(5, 2001)) == 2001 and body_of(5, 0) == b""
