Add the audit of the four rules and the service's figures, without I/O

Need: nothing in the project judged the four rules; a run could only be looked at.

Change: `records` says what callers, servers and discovery write down; `audit` decides from it lost, duplicated, drain, cold and crash, each violation with request, server, node and time. A run that the lab can't vouch for (late, records missing, nothing asked) gets no verdict; what its own lateness may explain is in doubt instead of guilty.

--- /dev/null
+++ b/headspar/lab/service.py
@@ -0,0 +1,140 @@
+"""Worth in time over worth asked for; without I/O.
+
+A call is worth its class's worth for each unit of work, whole if an answer comes within the class's aim of the
+first try's sending, ``late_worth`` of it if one comes later, nothing otherwise.  An agent's traffic beyond its
+share of the quota is worth ``over_share_worth`` of that, asked and answered alike.  The goal weighs the whole
+run (0.55), its worst 10 s (0.15), the worst class (0.05) and the worst agent within its share (0.25).
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+
+import msgspec
+
+from headspar.lab.plan import SECOND
+from headspar.lab.records import Ask, End, Recording
+
+WORST_S = 10
+BURST_S = 2.0  # of an agent's quota that may come at once
+GOAL = (0.55, 0.15, 0.05, 0.25)
+
+
+class Share(msgspec.Struct):
+    """Worth asked for and answered, and the number of first tries."""
+
+    asked: float = 0.0
+    answered: float = 0.0
+    calls: int = 0
+    in_time: int = 0
+
+    @property
+    def ratio(self) -> float:
+        return self.answered / self.asked if self.asked > 0 else 1.0
+
+
+class Second(msgspec.Struct):
+    """What happened to the tries that ended in one second, and to the first tries sent in it."""
+
+    served: int = 0
+    refused: int = 0
+    failed: int = 0
+    asked: int = 0
+    worth: Share = msgspec.field(default_factory=Share)
+
+
+class Service(msgspec.Struct):
+    """The figures of a run, each a share from 0 to 1."""
+
+    goal: float
+    whole: float
+    worst_10_s: float
+    worst_class: float
+    worst_agent: float
+    by_class: dict[str, float]
+    by_agent: dict[str, float]
+    seconds: list[Second]
+    first_tries: int
+    tries: int
+    amplification: float  # tries over first tries
+
+
+def _over_share(recording: Recording, firsts: list[Ask]) -> set[int]:
+    """Calls beyond their agent's share: a bucket of two seconds for each."""
+    rules = recording.rules
+    total = sum(share for _, share in rules.agents) or 1.0
+    rates = [rules.quota_rps * share / total for _, share in rules.agents]
+    tokens = [BURST_S * rate for rate in rates]
+    last = [rules.began_at] * len(rates)
+    over = set()
+    for a in firsts:
+        i = rules.calls[a.call].agent
+        tokens[i] = min(max(BURST_S * rates[i], 1.0), tokens[i] + rates[i] * (a.planned_at - last[i]) / SECOND)
+        last[i] = a.planned_at
+        if tokens[i] < 1.0:
+            over.add(a.call)
+        else:
+            tokens[i] -= 1.0
+    return over
+
+
+def measure(recording: Recording) -> Service:
+    """The service of a run, from its records."""
+    rules = recording.rules
+    firsts = sorted((a for a in recording.asks if a.attempt == 0), key=lambda a: a.planned_at)
+    served: dict[int, int] = {}
+    for a in recording.asks:
+        if a.end is End.ANSWER and a.status == 200 and a.genuine:
+            served[a.call] = min(served.get(a.call, a.ended_at), a.ended_at)
+    over = _over_share(recording, firsts)
+    count = -(-rules.length_us // SECOND)
+    seconds = [Second() for _ in range(count)]
+    whole = Share()
+    classes: defaultdict[str, Share] = defaultdict(Share)
+    agents: defaultdict[str, Share] = defaultdict(Share)
+    for a in firsts:
+        call = rules.calls[a.call]
+        spec = rules.classes[call.cls]
+        worth = spec.worth * call.work_us / 1e4
+        beyond = a.call in over
+        if beyond:
+            worth *= rules.over_share_worth
+        at = served.get(a.call)
+        sent = a.sent_at or a.planned_at
+        in_time = at is not None and at - sent <= spec.aim_us
+        got = 0.0 if at is None else worth if in_time else worth * spec.late_worth
+        second = seconds[min(count - 1, max(0, (a.planned_at - rules.began_at) // SECOND))]
+        second.asked += 1
+        rows = [whole, classes[spec.name], second.worth]
+        if not beyond:
+            rows.append(agents[rules.agents[call.agent][0]])
+        for share in rows:
+            share.asked += worth
+            share.answered += got
+            share.calls += 1
+            share.in_time += in_time
+    for a in recording.asks:
+        second = seconds[min(count - 1, max(0, (a.ended_at - rules.began_at) // SECOND))]
+        if a.end is End.ANSWER and a.status == 200:
+            second.served += 1
+        elif a.end is End.ANSWER and a.status in (429, 503):
+            second.refused += 1
+        elif a.end is not End.LEFT:
+            second.failed += 1
+    worst = whole.ratio
+    for i in range(max(0, count - WORST_S) + 1):
+        part = seconds[i:i + WORST_S]
+        asked = sum(s.worth.asked for s in part)
+        if asked > 0:
+            worst = min(worst, sum(s.worth.answered for s in part) / asked)
+    by_class = {name: share.ratio for name, share in sorted(classes.items())}
+    by_agent = {name: share.ratio for name, share in sorted(agents.items())}
+    worst_class = min(by_class.values(), default=1.0)
+    worst_agent = min(by_agent.values(), default=1.0)
+    parts = (whole.ratio, worst, worst_class, worst_agent)
+    return Service(
+        goal=sum(w * x for w, x in zip(GOAL, parts, strict=True)), whole=whole.ratio, worst_10_s=worst,
+        worst_class=worst_class, worst_agent=worst_agent, by_class=by_class, by_agent=by_agent,
+        seconds=seconds, first_tries=len(firsts), tries=len(recording.asks),
+        amplification=len(recording.asks) / len(firsts) if firsts else 0.0,
+    )
--- /dev/null
+++ b/tests/lab/test_audit.py
@@ -0,0 +1,355 @@
+"""The audit without sockets: each way to break a rule is caught and named, and what is allowed is not."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from headspar.lab.audit import Verdict, audit, effects_per_key
+from headspar.lab.records import (
+    Ask,
+    CallRule,
+    ClassRule,
+    End,
+    Fate,
+    Lateness,
+    Mark,
+    Recording,
+    Rulebook,
+    Sent,
+    ServerRule,
+    Start,
+    Told,
+    decode,
+    encode,
+)
+
+MS, S = 1_000, 1_000_000
+LOOK, PAY, BATCH, CREW = 0, 1, 2, 3
+CLASSES = [
+    ClassRule("look", "retryable", "all", 0, 400 * MS, 1.0, 0.3),
+    ClassRule("pay", "dedup", "all", 1200 * MS, 400 * MS, 10.0, 0.3),
+    ClassRule("batch", "dedup", "zone", 3 * S, S, 8.0, 0.3),
+    ClassRule("crew", "fragile", "all", 0, S, 5.0, 0.3),
+]
+BUDGET = 1000 * MS
+
+
+def recording() -> Recording:
+    """Nothing but a run that the lab can vouch for: four calls, one of each class, served."""
+    rules = Rulebook(
+        answer_slack_us=50 * MS, drain_grace_us=S, fall_multiple=3.0, fall_us=1500 * MS, max_attempts=3,
+        second_copies=True, over_share_worth=0.2, lateness_us=20 * MS, began_at=0, length_us=20 * S,
+        classes=CLASSES[:], agents=[("a", 1.0)], quota_rps=100.0,
+        servers={id: ServerRule(site, 0, 2 * S, 0.2, 20 * S) for id, site in (("s1", "x"), ("s2", "y"))},
+        calls=[CallRule(i, 0, 30 * MS) for i in range(4)],
+    )
+    r = Recording(rules, lateness=[Lateness("callers 0", 4, 0, 1 * MS, 2 * MS), Lateness("fleet", 4, 0, 0, 1 * MS)])
+    for i in range(4):
+        at = i * S
+        r.asks.append(Ask(i, 0, "n1", at, at, BUDGET, at + 100 * MS, End.ANSWER, 200))
+        r.sent.append(Sent(i, 0, "s1", "n1", at + MS, at + 90 * MS, Fate.DONE, 30 * MS, True))
+    return r
+
+
+def again(r: Recording, call: int, after_ms: float, server: str = "s2", fate: Fate = Fate.DONE) -> Sent:
+    """One more attempt of a call, so long after the first."""
+    first = next(s for s in r.sent if s.call == call)
+    at = first.arrived_at + int(after_ms * MS)
+    sent = Sent(call, 0, server, "n1", at, at + 20 * MS, fate, 30 * MS, fate is Fate.DONE)
+    r.sent.append(sent)
+    ask = next(a for a in r.asks if a.call == call)
+    ask.ended_at = max(ask.ended_at, sent.ended_at)
+    return sent
+
+
+def caught(r: Recording, rule: str, kind: str) -> Verdict:
+    v = audit(r)
+    assert v.valid, v.doubts
+    assert v.kinds == {f"{rule}: {kind}": 1}, v.kinds
+    assert v.counts[rule] == 1 and not v.clean
+    line = v.violations[0].line()
+    assert line.startswith(f"{rule}: {kind}") and "\n" not in line and " at " in line
+    return v
+
+
+def clean(r: Recording) -> None:
+    v = audit(r)
+    assert v.clean, (v.doubts, v.kinds)
+
+
+def test_a_run_in_order_is_clean_and_survives_its_encoding() -> None:
+    clean(recording())
+    clean(decode(encode(recording())))
+
+
+# ---------------------------------------------------------------- rule 1
+
+
+@pytest.mark.parametrize(("changes", "kind"), [
+    ({"end": End.CLOSED}, "closed unanswered"),
+    ({"end": End.NONE, "ended_at": 1300 * MS}, "no answer"),
+    ({"ended_at": 1200 * MS}, "answered late"),
+    ({"genuine": False}, "served with what no server made"),
+    ({"twice": True}, "more than one answer"),
+    ({"resent_at": 50 * MS}, "closed unanswered"),
+])
+def test_a_lost_request_is_caught(changes: dict[str, object], kind: str) -> None:
+    r = recording()
+    r.asks[0] = msgspec.structs.replace(r.asks[0], **changes)
+    v = caught(r, "lost", kind)
+    assert (v.violations[0].call, v.violations[0].node) == (0, "n1")
+
+
+def test_an_answer_that_no_server_made_is_caught() -> None:
+    r = recording()
+    r.sent[0].fate = Fate.TURNED_AWAY
+    caught(r, "lost", "served with what no server made")
+    del r.sent[0]
+    caught(r, "lost", "served with what no server made")
+
+
+@pytest.mark.parametrize("end", [End.ANSWER, End.LEFT])
+def test_what_is_sent_after_the_end_is_caught(end: End) -> None:
+    r = recording()
+    r.asks[0].end = end
+    again(r, 0, 300)
+    r.asks[0].ended_at = 100 * MS
+    caught(r, "lost", "sent after its answer" if end is End.ANSWER else "sent after its caller left")
+
+
+def test_what_a_killed_node_held_is_excused_and_only_that() -> None:
+    r = recording()
+    r.asks[0] = msgspec.structs.replace(r.asks[0], end=End.CLOSED)
+    r.marks = [Mark(60 * MS, "node_kill", "n2")]
+    caught(r, "lost", "closed unanswered")
+    r.marks = [Mark(60 * MS, "node_kill", "n1")]
+    assert audit(r).clean and audit(r).excused == 1
+    r.marks = [Mark(60 * MS, "node_term", "n1")]
+    assert audit(r).counts["lost"] == 1
+    r.marks = [Mark(5 * S, "node_kill", "n1")]
+    assert audit(r).counts["lost"] == 1
+
+
+def test_what_ends_otherwise_is_not_lost() -> None:
+    r = recording()
+    r.asks[0].end = End.CUT
+    r.asks[1].end = End.LEFT
+    r.asks[2].status = 502
+    r.asks[3] = msgspec.structs.replace(r.asks[3], end=End.UNCONNECTED, sent_at=0)
+    r.sent = r.sent[:3]
+    clean(r)
+
+
+# ---------------------------------------------------------------- rule 2
+
+
+def test_an_unsafe_one_sent_again_is_caught_unless_it_never_ran() -> None:
+    r = recording()
+    again(r, CREW, 95)
+    v = caught(r, "duplicated", "unsafe sent again")
+    assert v.violations[0].server == "s2"
+    for fate in (Fate.ERROR, Fate.DIED, Fate.CALLED_OFF, Fate.SPOILT, Fate.HUNG):
+        r.sent[CREW].fate = fate
+        assert audit(r).counts["duplicated"] == 1
+    r.sent[CREW].fate = Fate.TURNED_AWAY
+    clean(r)
+
+
+def test_an_unsafe_one_sent_again_before_it_was_known_never_to_have_run_is_caught() -> None:
+    r = recording()
+    again(r, CREW, 50)
+    r.sent[CREW].fate = Fate.TURNED_AWAY
+    caught(r, "duplicated", "unsafe sent again")
+
+
+def test_a_keyed_one_outside_its_window_or_group_is_caught() -> None:
+    r = recording()
+    r.asks[PAY].budget_us = 5 * S
+    again(r, PAY, 1240)
+    clean(r)
+    again(r, PAY, 1300)
+    caught(r, "duplicated", "repeated outside its window")
+    r = recording()
+    r.sent[BATCH].fate = Fate.DIED
+    again(r, BATCH, 95)
+    caught(r, "duplicated", "repeated outside its group")
+    r.sent[-1].server = "s1"
+    clean(r)
+    r.sent[-1].server, r.sent[BATCH].fate = "s2", Fate.TURNED_AWAY
+    clean(r)
+
+
+def test_the_group_of_a_cell_is_narrower_than_its_site() -> None:
+    r = recording()
+    r.rules.classes[BATCH] = msgspec.structs.replace(CLASSES[BATCH], group="cell")
+    r.rules.servers["s2"] = ServerRule("x", 1, 2 * S, 0.2, 20 * S)
+    again(r, BATCH, 95)
+    caught(r, "duplicated", "repeated outside its group")
+    r.rules.classes[BATCH] = CLASSES[BATCH]
+    clean(r)
+
+
+@pytest.mark.parametrize(("call", "guilty"), [(LOOK, False), (PAY, False), (BATCH, True), (CREW, True)])
+@pytest.mark.parametrize("status", [429, 503])
+def test_a_refusal_after_it_may_have_run_is_caught_where_it_promises_too_much(
+    call: int, guilty: bool, status: int
+) -> None:
+    r = recording()
+    r.asks[call].status = status
+    r.sent[call].fate = Fate.DIED
+    if guilty:
+        caught(r, "duplicated", "refused after it may have run")
+    else:
+        clean(r)
+    r.sent[call].fate = Fate.TURNED_AWAY
+    clean(r)
+
+
+def test_too_many_attempts_changes_on_the_way_and_strangers_are_caught() -> None:
+    r = recording()
+    for i in range(3):
+        again(r, LOOK, 20 * i + 25)
+    caught(r, "duplicated", "too many attempts")
+    r = recording()
+    r.sent[0].key_ok = False
+    caught(r, "duplicated", "changed on the way")
+    r = recording()
+    r.sent.append(Sent(1, 5, "s1", "n1", 3 * S, 3 * S + MS, Fate.DONE, 30 * MS, True))
+    caught(r, "duplicated", "never asked")
+
+
+def test_two_out_at_once_are_caught_where_copies_are_forbidden() -> None:
+    r = recording()
+    again(r, LOOK, 30)
+    clean(r)
+    r.rules.second_copies = False
+    caught(r, "duplicated", "two out at once")
+
+
+def test_effects_are_counted_by_call() -> None:
+    r = recording()
+    again(r, PAY, 95)
+    assert effects_per_key(r) == {PAY: 2, BATCH: 1}
+
+
+# ---------------------------------------------------------------- rule 3
+
+
+def test_a_send_after_the_grace_is_caught_and_named() -> None:
+    r = recording()
+    r.told = [Told("n1", "s1", 900 * MS, "draining", 0, False, 2)]
+    r.sent = [msgspec.structs.replace(s, server="s2") if s.call > 1 else s for s in r.sent]
+    clean(r)  # call 1 went out 101 ms after the telling
+    r.sent[2].server = "s1"
+    v = caught(r, "drain", "sent after the grace")
+    assert (v.violations[0].server, v.violations[0].node, v.violations[0].call) == ("s1", "n1", 2)
+    r.told[0].node = "n2"  # another node was told, this one was not
+    clean(r)
+
+
+def test_a_server_that_is_ready_again_may_be_sent_to() -> None:
+    r = recording()
+    r.told = [Told("n1", "s1", -5 * S, "gone", 0, False, 2)]
+    assert audit(r).counts["drain"] == 4
+    r.told.append(Told("n1", "s1", -S, "ready", 0, False, 3))
+    clean(r)
+    # what counts as told later, but is older than what was told, says nothing new
+    r.told.append(Told("n1", "s1", 0, "gone", 0, True, 2))
+    clean(r)
+    r.told[-1].version = 4
+    assert audit(r).counts["drain"] == 2
+
+
+def test_a_node_that_starts_again_has_been_told_nothing() -> None:
+    r = recording()
+    r.told = [Told("n1", "s1", -5 * S, "gone", 0, False, 2)]
+    r.marks = [Mark(-2 * S, "node_kill", "n1"), Mark(-S, "node_start", "n1")]
+    clean(r)
+
+
+# ---------------------------------------------------------------- rule 4
+
+
+def burst(r: Recording, count: int, every_ms: float, node: str = "n1") -> None:
+    """So many requests of 30 ms of work for s2, which starts cold at 4 s: 1.8 s of work is its budget."""
+    r.starts = [Start("s2", 4 * S)]
+    for i in range(count):
+        at = 4 * S + 10 * MS + int(i * every_ms * MS)
+        r.rules.calls.append(CallRule(LOOK, 0, 30 * MS))
+        call = len(r.rules.calls) - 1
+        r.asks.append(Ask(call, 0, node, at, at, BUDGET, at + 9 * MS, End.ANSWER, 503))
+        r.sent.append(Sent(call, 0, "s2", node, at, at + MS, Fate.TURNED_AWAY, 30 * MS, False))
+
+
+def test_a_cold_server_that_is_flooded_is_caught_also_with_what_it_turned_away() -> None:
+    r = recording()
+    burst(r, 80, 5)
+    r.told = [Told("n1", "s2", 4 * S + MS, "ready", 4 * S, False, 2)]
+    v = caught(r, "cold", "pushed over")
+    assert v.violations[0].server == "s2" and v.cold_peak_ratio > 1.2
+
+
+def test_the_same_work_spread_out_is_no_flood() -> None:
+    r = recording()
+    burst(r, 80, 150)
+    r.told = [Told("n1", "s2", 4 * S + MS, "ready", 4 * S, False, 2)]
+    clean(r)
+    assert 0.0 < audit(r).cold_peak_ratio < 1.0
+
+
+def test_nodes_that_were_not_told_of_a_start_are_not_to_blame() -> None:
+    r = recording()
+    burst(r, 80, 5)
+    clean(r)
+    assert audit(r).cold_peak_ratio > 1.2
+    r.told = [Told("n2", "s2", 4 * S + MS, "ready", 4 * S, False, 2)]
+    clean(r)
+
+
+# ---------------------------------------------------------------- crashes, and what the lab can vouch for
+
+
+def test_a_node_that_ends_by_itself_is_caught() -> None:
+    r = recording()
+    r.marks = [Mark(S, "node_exit", "n1", "ended with status 1")]
+    assert "status 1" in caught(r, "crash", "ended by itself").violations[0].text
+    r.marks.insert(0, Mark(S - 1, "node_term", "n1"))
+    clean(r)
+    r.marks += [Mark(2 * S, "node_start", "n1"), Mark(3 * S, "node_exit", "n1")]
+    caught(r, "crash", "ended by itself")
+
+
+@pytest.mark.parametrize("spoil", [
+    lambda r: r.asks.clear(),
+    lambda r: r.missing.append("fleet"),
+    lambda r: r.lateness.clear(),
+    lambda r: r.lateness.pop(0),
+    lambda r: r.lateness.__setitem__(1, Lateness("fleet", 0, 0, 0, 0)),
+    lambda r: r.lateness.__setitem__(0, Lateness("callers 0", 9, 0, 21 * MS, 30 * MS)),
+    lambda r: r.lateness.append(Lateness("discovery", 9, 0, 21 * MS, 30 * MS)),
+    lambda r: r.sent.append(Sent(99, 0, "s1", "n1", 0, 0, Fate.DONE, 0, True)),
+])
+def test_a_run_that_the_lab_cannot_vouch_for_gives_no_verdict(spoil: object) -> None:
+    r = recording()
+    spoil(r)  # type: ignore[operator]
+    v = audit(r)
+    assert not v.valid and not v.clean and v.doubts
+
+
+def test_what_the_labs_own_lateness_may_explain_is_in_doubt_and_not_guilty() -> None:
+    r = recording()
+    r.asks[0].ended_at = BUDGET + 51 * MS
+    v = audit(r)
+    assert not v.valid and v.counts["lost"] == 0 and "answered late" in v.doubts[0]
+    r.asks[0].ended_at = BUDGET + 53 * MS
+    caught(r, "lost", "answered late")
+
+
+def test_a_flood_of_violations_is_counted_whole_and_listed_in_part() -> None:
+    r = recording()
+    for i in range(500):
+        r.rules.calls.append(CallRule(LOOK, 0, 30 * MS))
+        r.asks.append(Ask(4 + i, 0, "n1", S, S, BUDGET, S, End.CLOSED))
+    v = audit(r)
+    assert v.counts["lost"] == 500 and len(v.violations) == 200
