Add the lab's stand-ins on sockets, its runs, and relays that break each rule

Need: faults for real nodes on loopback, and an audit that is seen to catch what it is there for.

Change: cash servers, discovery, callers and node processes of their own, ended with their parent; each server listens once for each node, so that sends are told apart. `run` starts, times and ends them and hands the records to the audit. Twelve relays with one flaw each and a right one run under faults in the tests.

--- /dev/null
+++ b/headspar/lab/fleet.py
@@ -0,0 +1,154 @@
+"""``python -m headspar.lab.fleet``: all cash servers of a run, in a process of their own.
+
+It draws the plan for itself, says where its servers listen, applies the servers' steps at their times and
+leaves its ledger in a file.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from headspar.lab.cash_server import CashServer, World
+from headspar.lab.children import Hosts, Parent, now_us, run_child
+from headspar.lab.plan import Step, draw, node_names
+from headspar.lab.records import Fate, Lateness, Mark, Sent, Start, lateness
+from headspar.lab.scenario import from_json
+
+PROGRESS_S = 0.25
+FAULTS = {"turn_away", "reset", "spoil", "hang", "idle_silent", "slow"}
+
+
+class FleetRecords(msgspec.Struct):
+    """What the fleet hands in."""
+
+    sent: list[Sent]
+    starts: list[Start]
+    marks: list[Mark]
+    lateness: list[Lateness]
+    strangers: int
+    forgotten_early: int
+
+
+class Fleet:
+    """The servers and their steps."""
+
+    def __init__(self, parent: Parent) -> None:
+        task = parent.task
+        self.parent = parent
+        self.scenario = from_json(task["scenario"])
+        self.plan = draw(self.scenario, task["seed"])
+        self.out = Path(task["out"])
+        self.world = World(self.scenario, self.plan)
+        hosts = Hosts()
+        nodes = node_names(self.scenario)
+        self.servers = {p.id: CashServer(self.world, p, hosts.next(), nodes) for p in self.plan.servers}
+        self.began_at = 0
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.lost = 0
+
+    async def run(self) -> None:
+        for server in self.servers.values():
+            if server.plan.starts_at < 0:
+                await server.start(cold=False)
+        addresses = {
+            id: {node: f"{a[0]}:{a[1]}" for node, a in s.addresses.items()} for id, s in self.servers.items()
+        }
+        self.parent.say("ready", addresses=addresses, digest=self.plan.digest())
+        await self.parent.commands(self.command)
+
+    async def command(self, command: dict[str, Any]) -> None:
+        if command["cmd"] == "start":
+            self.began_at = command["at"]
+            for coroutine in (self._steps(), self._progress(), self._sweep()):
+                task = asyncio.create_task(coroutine)
+                self.tasks.add(task)
+        elif command["cmd"] == "finish":
+            self.finish()
+
+    async def _steps(self) -> None:
+        for step in self.plan.steps:
+            await asyncio.sleep(max(0.0, (self.began_at + step.at - now_us()) / 1e6))
+            mine = [self.servers[id] for id in step.targets if id in self.servers]
+            for server in mine:
+                try:
+                    await self.apply(step, server)
+                except OSError as error:
+                    self.lost += 1
+                    print(f"{step.kind} {server.plan.id}: {error}", file=sys.stderr, flush=True)
+
+    async def apply(self, step: Step, server: CashServer) -> None:
+        kind, faults = step.kind, server.faults
+        mend = kind == "mend"
+        if mend:
+            kind = step.text
+        share = 0.0 if mend else step.share
+        if kind == "die":
+            server.die()
+        elif kind == "start":
+            await server.start(cold=True)
+        elif kind == "vanish":
+            await server.vanish()
+        elif kind == "return":
+            await server.come_back()
+        elif kind == "drain":
+            server.drain()
+        elif kind == "slow":
+            server.slow(1.0 if mend else step.value)
+        elif kind == "turn_away":
+            faults.turn_away = share
+        elif kind == "reset":
+            faults.reset, faults.reset_byte, faults.reset_where = share, int(step.value), step.text or "answer"
+        elif kind == "spoil":
+            faults.spoil, faults.how = share, step.text or "noise"
+        elif kind == "hang":
+            faults.hang = share
+        elif kind == "idle_silent":
+            faults.idle_silent = not mend
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(0.1)
+            now = now_us()
+            for server in self.servers.values():
+                server.sweep(now)
+
+    async def _progress(self) -> None:
+        while True:
+            await asyncio.sleep(PROGRESS_S)
+            rows = {}
+            for id, server in self.servers.items():
+                machine = server.machine
+                state = "down" if machine is None else "silent" if server.gone else (
+                    "draining" if machine.draining else "cold" if machine.cold(now_us()) else "warm")
+                rows[id] = [state, *server.load()]
+            self.parent.say("progress", part="fleet", servers=rows, sent=len(self.world.ledger))
+
+    def finish(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        world, now = self.world, now_us()
+        for row in world.ledger:
+            if row.ended_at == 0:
+                row.ended_at = now
+        problems = [lateness("fleet", world.late)]
+        if self.lost:
+            world.marks.append(Mark(now, "lab", "fleet", f"{self.lost} steps could not be applied"))
+        records = FleetRecords(
+            world.ledger, world.starts, world.marks, problems, world.strangers,
+            sum(m.forgotten_early for m in world.memories.values()),
+        )
+        self.out.write_bytes(msgspec.msgpack.encode(records))
+        self.parent.say("finished", open=sum(r.fate is Fate.OPEN for r in world.ledger))
+
+
+async def main(parent: Parent) -> None:
+    await Fleet(parent).run()
+
+
+if __name__ == "__main__":
+    sys.exit(run_child(main))
--- /dev/null
+++ b/headspar/lab/run.py
@@ -0,0 +1,380 @@
+"""A whole run: starting, timing and ending its processes, then the verdict on their records."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import signal
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from headspar.lab.audit import Verdict, audit
+from headspar.lab.callers import CallerRecords
+from headspar.lab.children import Child, Hosts, now_us
+from headspar.lab.discovery import Discovery
+from headspar.lab.fleet import FleetRecords
+from headspar.lab.nodes import NodeProcess, Peers, free_address, settings
+from headspar.lab.plan import Plan, Step, draw, node_names
+from headspar.lab.records import CallRule, ClassRule, Mark, Recording, Rulebook, ServerRule, lateness
+from headspar.lab.scenario import Scenario, to_json
+from headspar.lab.service import Service, measure
+
+READY_S = 30.0
+LEAD_US = 400_000  # from the last one's being ready to the first arrival
+TERM_NOTICE_S = 0.3  # the front learns of a planned restart
+TICK_S = 0.05
+
+
+class RunError(RuntimeError):
+    """A run that could not be carried out; the text is one plain line."""
+
+
+class Result(msgspec.Struct):
+    """What a run gave."""
+
+    scenario: str
+    seed: int
+    plan_digest: str
+    rps: float
+    verdict: Verdict
+    service: Service
+    recording: Recording
+
+    def summary(self) -> dict[str, Any]:
+        """The figures as JSON: the service, the audit, lateness; no request's records."""
+        v, s = self.verdict, self.service
+        return {
+            "scenario": self.scenario, "seed": self.seed, "plan": self.plan_digest, "offered_rps": self.rps,
+            "valid": v.valid, "clean": v.clean, "doubts": v.doubts, "counts": v.counts, "kinds": v.kinds,
+            "violations": [x.line() for x in v.violations[:20]],
+            "taken": v.taken, "served": v.served, "refused": v.refused, "failed": v.failed, "excused": v.excused,
+            "repeats_dropped": v.repeats_dropped, "cold_peak_ratio": round(v.cold_peak_ratio, 3),
+            "service": {
+                "goal": round(s.goal, 4), "whole": round(s.whole, 4), "worst_10_s": round(s.worst_10_s, 4),
+                "worst_class": round(s.worst_class, 4), "worst_agent": round(s.worst_agent, 4),
+                "by_class": {k: round(x, 4) for k, x in s.by_class.items()},
+                "by_agent": {k: round(x, 4) for k, x in s.by_agent.items()},
+                "first_tries": s.first_tries, "tries": s.tries, "amplification": round(s.amplification, 4),
+            },
+            "lateness_ms": {x.part: {"p50": x.p50 / 1000, "p99": x.p99 / 1000, "most": x.most / 1000}
+                            for x in self.recording.lateness},
+        }
+
+
+Progress = Callable[[dict[str, Any]], None]
+
+
+def rulebook(s: Scenario, plan: Plan, began_at: int) -> Rulebook:
+    """What the audit needs to know of a scenario."""
+    rules = s.rules
+    return Rulebook(
+        answer_slack_us=int(rules.answer_slack_ms * 1000), drain_grace_us=int(rules.drain_grace_s * 1e6),
+        fall_multiple=rules.fall_multiple, fall_us=int(rules.fall_s * 1e6), max_attempts=s.nodes.max_attempts,
+        second_copies=s.nodes.second_copies, over_share_worth=rules.over_share_worth,
+        lateness_us=int(rules.lateness_ms * 1000), began_at=began_at, length_us=int(s.length_s * 1e6),
+        classes=[ClassRule(c.name, c.effect, c.group, int(c.window_ms * 1000), int(c.aim_ms * 1000), c.worth,
+                           c.late_worth) for c in s.classes],
+        agents=[(a.name, a.share) for a in s.agents], quota_rps=plan.quota_rps,
+        servers={p.id: ServerRule(p.site, p.cell, p.capacity, p.cold_share, p.ramp_us) for p in plan.servers},
+        calls=[CallRule(c.cls, c.agent, c.work_us) for c in plan.calls],
+    )
+
+
+class Run:
+    """The processes of one run."""
+
+    def __init__(self, scenario: Scenario, seed: int, dir: Path, on_progress: Progress | None = None,
+                 command: list[str] | None = None) -> None:
+        """``command`` starts a node in place of the real one; tests put broken relays there."""
+        self.s, self.seed, self.dir, self.command = scenario, seed, dir, command
+        self.plan = draw(scenario, seed)
+        self.on_progress = on_progress
+        self.hosts = Hosts()
+        self.nodes: dict[str, NodeProcess] = {}
+        self.children: list[Child] = []
+        self.callers: list[Child] = []
+        self.fleet: Child | None = None
+        self.discovery: Discovery | None = None
+        self.peers: Peers | None = None
+        self.marks: list[Mark] = []
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.late: list[int] = []
+        self.missing: list[str] = []
+        self.state: dict[str, Any] = {"servers": {}, "callers": {}, "at_s": 0.0, "marks": []}
+        self.down: set[str] = set()
+        self.began_at = 0
+
+    # ------------------------------------------------------------ start
+
+    async def _start(self) -> None:
+        s, names = self.s, node_names(self.s)
+        task = {"scenario": to_json(s).decode(), "seed": self.seed}
+        self.fleet = await self._child("fleet", {**task, "out": str(self.dir / "fleet.bin")})
+        for i in range(s.callers.processes):
+            listens = {name: free_address(self.hosts.next()) for name in names} if not self.nodes else None
+            if listens is not None:
+                self._plan_nodes(names, listens)
+            child = await self._child(f"callers-{i}", {
+                **task, "part": i, "parts": s.callers.processes, "out": str(self.dir / f"callers-{i}.bin"),
+                "nodes": {n.name: f"{n.listen[0]}:{n.listen[1]}" for n in self.nodes.values()},
+            }, "callers")
+            self.callers.append(child)
+        ready = await self.fleet.expect("ready", READY_S)
+        self._same_plan(ready)
+        self.discovery = Discovery(s, self.plan, names, self.hosts.next())
+        await self.discovery.start(ready["addresses"])
+        if s.nodes.peers:
+            await self._start_peers()
+        for node in self.nodes.values():
+            await self._start_node(node)
+        for node in self.nodes.values():
+            if not await node.ready(READY_S):
+                tail = node.log.read_text(errors="replace").strip().splitlines()[-2:]
+                raise RunError(f"node {node.name} does not get ready: {' / '.join(tail) or 'no log'}")
+        for child in self.callers:
+            self._same_plan(await child.expect("ready", READY_S))
+
+    def _same_plan(self, ready: dict[str, Any]) -> None:
+        if ready["digest"] != self.plan.digest():
+            raise RunError("a part of the lab has drawn another plan")
+
+    async def _child(self, name: str, task: dict[str, Any], module: str = "") -> Child:
+        child = await Child.start(name, f"headspar.lab.{module or name}", task, self.dir / f"{name}.log")
+        child.on_event = self._progress
+        self.children.append(child)
+        return child
+
+    def _plan_nodes(self, names: list[str], listens: dict[str, tuple[str, int]]) -> None:
+        limits = {"cores": 1.0, "memory_mb": self.s.nodes.memory_mb, "sockets": self.s.nodes.sockets}
+        for i, name in enumerate(names):
+            config = {
+                "name": name, "seed": f"{random.Random(f'{self.seed}/{name}').getrandbits(64):016x}",
+                "limits": limits, "settings": settings(self.s, self.plan, i), "known": {},
+            }
+            self.nodes[name] = NodeProcess(name, config, listens[name], self.dir)
+            if self.command is not None:
+                self.nodes[name].command = self.command
+
+    async def _start_peers(self) -> None:
+        nodes = list(self.nodes.values())
+        listens = [free_address(self.hosts.next()) for _ in nodes]
+        self.peers = Peers(listens, self.hosts.next())
+        await self.peers.start()
+        texts = [f"{a[0]}:{a[1]}" for a in self.peers.addresses]
+        for node, listen in zip(nodes, listens, strict=True):
+            node.config |= {"peer_listen": f"{listen[0]}:{listen[1]}", "peers": texts[:-1], "peers_all": texts[-1]}
+
+    async def _start_node(self, node: NodeProcess) -> None:
+        assert self.discovery is not None
+        await node.start(self.discovery.known(node.name), self.discovery.desks[node.name].address)
+
+    # ------------------------------------------------------------ on the way
+
+    def _progress(self, event: dict[str, Any]) -> None:
+        if event["part"] == "fleet":
+            self.state["servers"] = event["servers"]
+            for id, row in event["servers"].items():
+                if row[0] == "down" and id not in self.down and self._may_fall(id):
+                    self.down.add(id)
+                    self._mark("fell", id)
+                    assert self.discovery is not None
+                    self.discovery.heard("die", id, now_us())
+        else:
+            self.state["callers"][event["number"]] = event
+        self.state["at_s"] = max(0.0, (now_us() - self.began_at) / 1e6) if self.began_at else 0.0
+        if self.on_progress is not None:
+            self.on_progress(self.state)
+
+    def _may_fall(self, id: str) -> bool:
+        """Whether a server that is down has not been taken down by a step."""
+        now = now_us() - self.began_at
+        last = [x for x in self.plan.steps if id in x.targets and x.kind in ("die", "start") and x.at <= now + 1e6]
+        entry = next(p for p in self.plan.servers if p.id == id)
+        if not last:
+            return entry.starts_at < 0 and self.began_at > 0
+        return last[-1].kind == "start" and last[-1].at < now - 1e6
+
+    def _mark(self, what: str, target: str, text: str = "") -> None:
+        self.marks.append(Mark(now_us(), what, target, text))
+        self.state["marks"].append((what, target))
+
+    async def _steps(self) -> None:
+        for step in self.plan.steps:
+            await asyncio.sleep(max(0.0, (self.began_at + step.at - now_us()) / 1e6))
+            self.late.append(max(0, now_us() - self.began_at - step.at))
+            await self._step(step)
+
+    async def _step(self, step: Step) -> None:
+        assert self.discovery is not None
+        at = self.began_at + step.at
+        if step.targets == ["d"]:
+            self._mark(step.kind, "discovery")
+            await self.discovery.apply(step.kind)
+            if step.kind == "discovery_move":
+                for node in self.nodes.values():
+                    node.configure(self.discovery.desks[node.name].address)
+                    node.signal(signal.SIGHUP, "node_hup")
+            return
+        for target in step.targets:
+            if target in self.nodes:
+                self._task(self._node_step(step.kind, self.nodes[target]))
+                continue
+            self._mark(step.text if step.kind == "mend" else step.kind, target, step.kind)
+            if step.kind in ("start", "drain", "die"):
+                self.discovery.heard(step.kind, target, at)
+
+    async def _node_step(self, kind: str, node: NodeProcess) -> None:
+        assert self.discovery is not None
+        if kind == "node_term":
+            node.signal(signal.SIGTERM, kind)
+            await asyncio.sleep(TERM_NOTICE_S)
+            self._front(node, False)
+        elif kind == "node_kill":
+            node.signal(signal.SIGKILL, kind)
+            await asyncio.sleep(self.s.callers.notice_s)
+            if node.process is not None and node.process.returncode is not None:
+                self._front(node, False)
+        elif kind == "node_hup":
+            node.configure(self.discovery.desks[node.name].address)
+            node.signal(signal.SIGHUP, kind)
+        elif kind == "node_start":
+            if node.process is not None and node.process.returncode is None:
+                try:
+                    async with asyncio.timeout(5):
+                        await node.process.wait()
+                except TimeoutError:
+                    node.signal(signal.SIGKILL, "node_kill")
+                    await node.process.wait()
+            await self._start_node(node)
+            if await node.ready(READY_S):
+                self._front(node, True)
+
+    def _front(self, node: NodeProcess, up: bool) -> None:
+        for child in self.callers:
+            child.tell({"cmd": "node", "node": node.name, "up": up})
+
+    def _task(self, coroutine: Any) -> None:
+        task: asyncio.Task[None] = asyncio.create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self._over)
+
+    def _over(self, task: asyncio.Task[None]) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.missing.append(f"a step ({task.exception()})")
+
+    async def _tick(self) -> None:
+        while True:
+            due = now_us() + int(TICK_S * 1e6)
+            await asyncio.sleep(TICK_S)
+            self.late.append(max(0, now_us() - due - 1000))
+
+    # ------------------------------------------------------------ the whole
+
+    async def run(self) -> Result:
+        """Carry it out; whatever happens, no process is left behind."""
+        try:
+            await self._start()
+            self.began_at = now_us() + LEAD_US
+            for child in (*self.callers, self.fleet):
+                assert child is not None
+                child.tell({"cmd": "start", "at": self.began_at})
+            self._task(self._steps())
+            self._task(self._tick())
+            await asyncio.sleep(LEAD_US / 1e6 + self.s.length_s)
+            within = self._longest_wait()
+            for child in self.callers:
+                child.tell({"cmd": "finish", "within_s": within})
+            for child in self.callers:
+                await self._finished(child, within + 15)
+            assert self.fleet is not None
+            await asyncio.sleep(0.2)
+            self.fleet.tell({"cmd": "finish"})
+            await self._finished(self.fleet, 15)
+            await asyncio.gather(*(node.end() for node in self.nodes.values()))
+            return self._result()
+        except RuntimeError as error:
+            raise RunError(str(error)) from None
+        finally:
+            await self._close()
+
+    def _longest_wait(self) -> float:
+        """For the last tries, retries and pauses to end."""
+        spec = self.s.callers
+        longest = max(c.deadline_ms for c in self.s.classes) / 1000 + 0.5
+        return min(60.0, (spec.retries + 1) * longest + spec.retries * 2.5)
+
+    async def _finished(self, child: Child, seconds: float) -> None:
+        try:
+            await child.expect("finished", seconds)
+        except RuntimeError as error:
+            self.missing.append(str(error))
+
+    async def _close(self) -> None:
+        for task in list(self.tasks):
+            task.cancel()
+        for node in self.nodes.values():
+            node.kill()
+        await asyncio.gather(*(child.close() for child in self.children), return_exceptions=True)
+        for node in self.nodes.values():
+            if node.process is not None:
+                with contextlib.suppress(ProcessLookupError):
+                    await node.process.wait()
+        if self.discovery is not None:
+            self.discovery.close()
+        if self.peers is not None:
+            self.peers.close()
+
+    # ------------------------------------------------------------ records
+
+    def _result(self) -> Result:
+        assert self.discovery is not None
+        recording = Recording(rulebook(self.s, self.plan, self.began_at))
+        for i in range(len(self.callers)):
+            part = self._read(f"callers-{i}.bin", CallerRecords)
+            if part is not None:
+                recording.asks += part.asks
+                recording.lateness += part.lateness
+                if part.unfinished:
+                    self.missing.append(f"{part.unfinished} tries that had not ended")
+        fleet = self._read("fleet.bin", FleetRecords)
+        if fleet is not None:
+            recording.sent, recording.starts = fleet.sent, fleet.starts
+            recording.marks += fleet.marks
+            recording.lateness += fleet.lateness
+        recording.told = self.discovery.told
+        recording.marks += self.marks
+        for node in self.nodes.values():
+            recording.marks += node.marks
+        recording.lateness.append(lateness("discovery", self.late))
+        recording.missing = self.missing
+        return Result(self.s.name, self.seed, self.plan.digest(), self.plan.rps, audit(recording),
+                      measure(recording), recording)
+
+    def _read(self, name: str, what: type[Any]) -> Any:
+        try:
+            return msgspec.msgpack.decode((self.dir / name).read_bytes(), type=what)
+        except (OSError, msgspec.MsgspecError) as error:
+            self.missing.append(f"{name} ({error})")
+            return None
+
+
+def run_scenario(scenario: Scenario, seed: int, dir: Path, on_progress: Progress | None = None,
+                 command: list[str] | None = None) -> Result:
+    """Run it on an event loop of its own.  ``RunError`` if it can't be carried out."""
+    import uvloop
+
+    dir.mkdir(parents=True, exist_ok=True)
+
+    async def whole() -> Result:
+        return await Run(scenario, seed, dir, on_progress, command).run()
+
+    if sys.platform == "win32":  # pragma: no cover
+        raise RunError("the lab needs a POSIX system")
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        return runner.run(whole())
--- /dev/null
+++ b/tests/lab/test_flaws.py
@@ -0,0 +1,116 @@
+"""The audit must not pass in vain: relays that break one rule each are caught, a right one is clean."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+import pytest
+
+from headspar.lab.run import run_scenario
+from headspar.lab.scenario import parse
+
+SCENARIO = '''
+name = "flaws"
+length_s = 4.5
+[nodes]
+count = 1
+peers = false
+[[servers]]
+count = 6
+sites = ["x", "y"]
+[load]
+rps = 60
+[callers]
+retries = 0
+[discovery]
+mode = "pushed"
+notice_s = [0.1, 0.2]
+add_s = [0.1, 0.2]
+delay_ms = 1
+[rules]
+drain_grace_s = 0.5
+fall_s = 1.0
+lateness_ms = 100
+[[classes]]
+name = "look"
+share = 1
+work_ms = [24, 44]
+wait_ms = [10, 20]
+aim_ms = 400
+deadline_ms = 800
+[[classes]]
+name = "pay"
+share = 1
+work_ms = [24, 44]
+wait_ms = [10, 20]
+aim_ms = 400
+deadline_ms = 800
+effect = "dedup"
+window_ms = 250
+[[classes]]
+name = "batch"
+share = 1
+work_ms = [24, 44]
+wait_ms = [10, 20]
+aim_ms = 400
+deadline_ms = 800
+effect = "dedup"
+group = "zone"
+window_ms = 250
+[[classes]]
+name = "crew"
+share = 1
+work_ms = [24, 44]
+wait_ms = [10, 20]
+aim_ms = 400
+deadline_ms = 800
+effect = "fragile"
+[[faults]]
+at_s = 0.3
+kind = "reset"
+servers = 4
+for_s = 3
+share = 0.3
+[[faults]]
+at_s = 0.5
+kind = "drain"
+servers = 1
+linger_s = 60
+[[faults]]
+at_s = 0.6
+kind = "die"
+servers = 1
+back_s = 1.0
+'''
+FLAWS = {
+    "loses": "lost: closed unanswered",
+    "late": "lost: answered late",
+    "another's answer": "lost: served with what no server made",
+    "after the answer": "lost: sent after its answer",
+    "two answers": "lost: more than one answer",
+    "unsafe twice": "duplicated: unsafe sent again",
+    "refuses": "duplicated: refused after it may have run",
+    "outside group": "duplicated: repeated outside its group",
+    "outside window": "duplicated: repeated outside its window",
+    "drained": "drain: sent after the grace",
+    "floods": "cold: pushed over",
+    "crashes": "crash: ended by itself",
+}
+
+
+@pytest.mark.parametrize("flaw", ["none", *FLAWS])
+def test_each_flaw_is_caught_and_named(flaw: str, tmp_path: Path) -> None:
+    command = [sys.executable, "-m", "tests.lab.relay", flaw]
+    result = run_scenario(parse(SCENARIO), 3, tmp_path, command=command)
+    v = result.verdict
+    if flaw == "none":
+        assert v.clean, (v.doubts, [x.line() for x in v.violations[:5]])
+        assert v.taken > 150 and v.served > 0.6 * v.taken
+        return
+    named = [x for x in v.violations if f"{x.rule}: {x.kind}" == FLAWS[flaw]]
+    assert named, (v.doubts, v.kinds)
+    first = named[0]
+    assert first.node == "n1" and 0 <= first.at < 9_000_000 and first.text
+    assert first.call >= 0 or first.rule in ("cold", "crash")
+    assert not v.clean
