Measure the node's CPU a request beside a bare relay in one run

Need: what rules and decisions cost was known from one remark; changes of the ports, tenants and connections to come must be held against it.

--- /dev/null
+++ b/benchmarks/rig.py
@@ -0,0 +1,250 @@
+"""What measurements of one process share: instant servers, discovery, and a steady stream of requests.
+
+The servers answer at once and cost next to nothing, so that what is measured is the process in between.  CPU is
+the process's own, from the scheduler's count in nanoseconds.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import sys
+from pathlib import Path
+from typing import Any, cast
+
+from headspar.lab.children import Child, Hosts, Parent, now_us, run_child
+from headspar.lab.nodes import NodeProcess, free_address
+
+ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 31\r\n\r\n{"call":1,"try":0,"ok":"found"}\n'[:-1]
+Address = tuple[str, int]
+
+
+def settings(**limits: Any) -> dict[str, Any]:
+    """A node's settings: two classes, one node."""
+    def one(name: str, effect: str, worth: float) -> dict[str, Any]:
+        return {"name": name, "aim_us": 400_000, "give_up_us": 2_000_000, "effect": effect, "group": "all",
+                "window_us": 1_200_000, "worth": worth, "late_worth": 0.3, "stream": False}
+
+    return {
+        "az": "a", "balancers": 1, "me": 0, "counted_by": "work", "quantum_us": 5000, "registry_mode": "push",
+        "classes": [one("look", "retryable", 1.0), one("pay", "dedup", 10.0)],
+        "customers": [{"name": "agent", "share": 1.0, "quota_rps": 1e9}],
+        "invariants": {"answer_slack_us": 20000, "ask_every_us": 10_000_000, "cold_share": 0.2,
+                       "drain_grace_us": 1_000_000, "fall_multiple": 3.0, "fall_us": 1_500_000,
+                       "ramp_time_us": 20_000_000},
+        "policy_limits": {"try_limit": 6, "cancel": True, "second_copies": True, "may_tell": False,
+                          "connect_timeout_us": 200_000, "idle_close_us": 15_000_000, "retry_after": True,
+                          "max_retry_after_us": 2_000_000, **limits},
+    }
+
+
+class Instant(asyncio.Protocol):
+    """A server's connection: an answer for each request, which comes in one piece or ends with its body."""
+
+    accepted = 0
+
+    def __init__(self) -> None:
+        self.buffer = b""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        Instant.accepted += 1
+        self.transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        data = self.buffer + data
+        while True:
+            end = data.find(b"\r\n\r\n")
+            if end < 0:
+                break
+            at = data.find(b"Content-Length: ", 0, end)
+            size = int(data[at + 16:data.index(b"\r\n", at)]) if at >= 0 else 0
+            if len(data) < end + 4 + size:
+                break
+            data = data[end + 4 + size:]
+            self.transport.write(ANSWER)
+        self.buffer = data
+
+
+async def servers(parent: Parent) -> None:
+    """The child: so many listeners; it says where, and on command how many connections it has accepted."""
+    loop = asyncio.get_running_loop()
+    hosts = Hosts()
+    addresses = []
+    for _ in range(parent.task["count"]):
+        server = await loop.create_server(Instant, hosts.next(), 0, backlog=256)
+        host, port = server.sockets[0].getsockname()[:2]
+        addresses.append(f"{host}:{port}")
+    parent.say("ready", addresses=addresses)
+
+    async def count(command: dict[str, Any]) -> None:
+        parent.say("accepted", count=Instant.accepted)
+
+    await parent.commands(count)
+
+
+def rows(addresses: list[str]) -> list[dict[str, Any]]:
+    return [{"instanceId": f"s-{i:04d}", "hostPort": a, "zone": "a", "machineType": "m", "cell": 0,
+             "lifecycle": "ready", "weight": 1.0, "startedAtMs": 0} for i, a in enumerate(addresses)]
+
+
+class Discovery(asyncio.Protocol):
+    """Holds every watch for as long as it asks for, and has no news."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        wait = 1.0
+        if b"timeout_ms=" in data:
+            wait = int(data.partition(b"timeout_ms=")[2].partition(b" ")[0].partition(b"&")[0]) / 1000
+        asyncio.get_running_loop().call_later(wait, self._answer)
+
+    def _answer(self) -> None:
+        body = b'{"generation":1,"reset":false,"instances":[]}'
+        self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+
+
+class Caller(asyncio.Protocol):
+    """A client's connection."""
+
+    def __init__(self, stream: Stream) -> None:
+        self.stream = stream
+        self.sent_at = 0
+        self.buffer = b""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        data = self.buffer + data
+        end = data.find(b"\r\n\r\n")
+        at = data.find(b"Content-Length: ", 0, end)
+        if end < 0 or len(data) < end + 4 + int(data[at + 16:data.index(b"\r\n", at)]):
+            self.buffer = data
+            return
+        self.buffer = b""
+        self.stream.answered(self, data.startswith(b"HTTP/1.1 200"))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.stream.lost += 1
+
+
+class Stream:
+    """Requests at a steady mean rate with exponential gaps, whatever the answers do."""
+
+    def __init__(self, address: Address, seed: int) -> None:
+        self.address = address
+        self.rng = random.Random(seed)
+        self.idle: list[Caller] = []
+        self.served = self.other = self.sent = self.lost = self.serial = 0
+        self.latencies: list[int] = []
+
+    def answered(self, caller: Caller, good: bool) -> None:
+        self.served += good
+        self.other += not good
+        self.latencies.append(now_us() - caller.sent_at)
+        self.idle.append(caller)
+
+    async def send(self) -> None:
+        if self.idle:
+            caller = self.idle.pop()
+        else:
+            _, caller = await asyncio.get_running_loop().create_connection(lambda: Caller(self), *self.address)
+        self.serial += 1
+        self.sent += 1
+        head = (f"X-Call-Id: b{self.serial:x}\r\nX-Caller: agent\r\nX-Budget: 2000000u\r\nX-Call-Cost: 30000\r\n"
+                "Host: api.internal\r\n")
+        path = f"/api/r{self.rng.randrange(2000):05d}"
+        caller.sent_at = now_us()
+        if self.serial % 2:
+            caller.transport.write(f"GET {path} HTTP/1.1\r\nX-Call-Class: look\r\n{head}\r\n".encode())
+        else:
+            caller.transport.write(
+                f"POST {path} HTTP/1.1\r\nX-Call-Class: pay\r\n{head}Idempotency-Key: k{self.serial:x}\r\n"
+                f"Content-Length: 200\r\n\r\n{'x' * 200}".encode()
+            )
+
+    async def run(self, rps: float, seconds: float) -> int:
+        """How many were answered with 200 in so many seconds."""
+        before, end, due = self.served, now_us() + int(seconds * 1e6), now_us()
+        while due < end:
+            now = now_us()
+            if due > now:
+                await asyncio.sleep((due - now) / 1e6)
+            while due <= now_us() and due < end:
+                due += int(self.rng.expovariate(rps) * 1e6)
+                await self.send()
+        await asyncio.sleep(0.1)
+        return self.served - before
+
+
+def cpu_us(pid: int) -> float:
+    """CPU that a process has used, by the scheduler's count (nanoseconds in its first field)."""
+    return sum(
+        int((path / "schedstat").read_text().split()[0]) for path in Path(f"/proc/{pid}/task").iterdir()
+    ) / 1000
+
+
+class Rig:
+    """Instant servers, discovery and any number of processes before them, each named."""
+
+    def __init__(self, dir: Path, servers: int) -> None:
+        self.dir, self.count = dir, servers
+        self.hosts = Hosts()
+        self.targets: dict[str, NodeProcess] = {}
+        self.streams: dict[str, Stream] = {}
+        self.addresses: list[str] = []
+
+    async def start(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.child = await Child.start("servers", "benchmarks.rig", {"count": self.count}, self.dir / "servers.log")
+        self.addresses = (await self.child.expect("ready", 30))["addresses"]
+        self.discovery = await loop.create_server(Discovery, self.hosts.next(), 0)
+
+    async def add(self, name: str, command: list[str] | None = None, *, sockets: int = 1024) -> None:
+        """Start a node, or what stands in its place, and warm it up."""
+        config = {"name": name, "seed": "5eed", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+                  "settings": settings()}
+        node = NodeProcess(name, config, free_address(self.hosts.next()), self.dir)
+        if command is not None:
+            node.command = command
+        known = {"generation": 1, "reset": True, "instances": rows(self.addresses)}
+        address = self.discovery.sockets[0].getsockname()[:2]
+        await node.start(known, address)
+        if not await node.ready(20):
+            raise RuntimeError(f"{name} does not get ready: {node.log.read_text()[-300:]}")
+        self.targets[name] = node
+        self.streams[name] = Stream(node.listen, 1)
+
+    async def segment(self, name: str, rps: float, seconds: float) -> float:
+        """CPU of a target for each request served, in microseconds."""
+        process = self.targets[name].process
+        assert process is not None
+        before = cpu_us(process.pid)
+        served = await self.streams[name].run(rps, seconds)
+        return (cpu_us(process.pid) - before) / max(1, served)
+
+    async def accepted(self) -> int:
+        """Connections that the servers have accepted so far."""
+        self.child.tell({"cmd": "count"})
+        count: int = (await self.child.expect("accepted", 10))["count"]
+        return count
+
+    async def close(self) -> None:
+        for node in self.targets.values():
+            await node.end()
+        await self.child.close()
+        self.discovery.close()
+
+
+def write_line(figures: dict[str, Any], as_json: bool) -> None:
+    """The figures for people, then as the last line of the output."""
+    if not as_json:
+        for name, value in figures.items():
+            print(f"{name:<24}{value}")
+    print(json.dumps(figures))
+
+
+if __name__ == "__main__":
+    sys.exit(run_child(servers))
