Let the tests see a cold window that never slides and a share that counts for nothing

Change: the spread-out load lasts long enough to break the budget if old work were never taken out of the window; an agent's traffic beyond its share is compared with counting in full.

--- a/tests/lab/test_audit.py
+++ b/tests/lab/test_audit.py
@@ -300,7 +300,7 @@
 
 def test_the_same_work_spread_out_is_no_flood() -> None:
     r = recording()
-    burst(r, 80, 150)
+    burst(r, 250, 40)
     r.told = [Told("n1", "s2", 4 * S + MS, "ready", 4 * S, False, 2)]
     clean(r)
     assert 0.0 < audit(r).cold_peak_ratio < 1.0
--- a/tests/lab/test_service.py
+++ b/tests/lab/test_service.py
@@ -59,6 +59,8 @@
     assert s.by_agent["quiet"] == 1.0
     within = 10 + 20  # a bucket of two seconds, then five a second for four seconds
     assert 10 / within <= s.by_agent["flood"] < 0.6
+    r.rules.over_share_worth = 1.0
+    assert measure(r).whole < s.whole  # what was refused beyond the share now counts in full
 
 
 def test_nothing_asked_is_no_division_by_zero() -> None:
