Plan connections to cash servers without I/O: reuse, proof, limits, age, spares

Need: `node/backends.py` pops the last idle connection, opens without a limit and finds a dead one by losing a request on it; with more servers than descriptors it scans all hosts for each request.

Change: `headspar/connections`: a plan that is told what happens and says which connection an attempt gets, what to open ahead and what to retire, and what is learned of a server's idle time. No node uses it yet.

--- /dev/null
+++ b/headspar/connections/plan.py
@@ -0,0 +1,365 @@
+"""Which connection an attempt gets, which are opened ahead, which are retired; without I/O or clock.
+
+The host asks ``take`` for each attempt and does what it says: use a connection, wait for one that is being made,
+or nothing can be had now.  It tells the plan what happens (``opened``, ``failed``, ``answered``, ``ended``) and
+asks ``tick`` now and then what to open ahead and what to close.  Connections are numbers that the plan gives out;
+times are microseconds on one clock that only advances.
+
+States of a connection:
+
+    making ──opened──► idle ──take──► busy ──answered──► idle ──retired, evicted──► (gone)
+       │                 │              │
+       └─ failed ────────┴─ ended ──────┴─ ended ──► (gone)
+
+*Held.*  A server's demand is the number of its connections in use, averaged with its variance (by Little's law
+that number is the rate times the time in use).  Its ceiling is the mean and three standard deviations, and never
+under what one busy moment has shown of late; its floor is the mean.  All are held within ``most`` descriptors.
+When those run out, the connection idle longest goes first, but no server's last one while another has spares.
+
+*Order.*  The one proven most recently is used first (a stack), so that what is too much ages out at the bottom
+and is retired.  A server that spreads its connections over workers sees its newest ones busiest.
+
+*Proof.*  A connection is proven by its handshake and by each answer.  What may not be repeated, and what carries
+a key, goes only over one proven within ``proof_us``; other requests may use any that is not due to be retired.
+
+*Limit.*  How many connections a server accepts is told nowhere.  A connect that fails while others to it are
+open and were answered of late sets the limit to what was open; it rises by one each ``FORGET_US``.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import OrderedDict, deque
+from dataclasses import dataclass
+from enum import Enum
+from heapq import heapify, heappop, heappush
+from math import ceil, exp, sqrt
+
+from headspar.connections.idle_time import IdleTime
+
+FORGET_US = 5_000_000  # after which a learned limit is tried one higher
+MEMORY_US = 5_000_000  # of the demand
+DEVIATIONS = 3.0
+LOOK = 16  # idle connections that are looked at for the least useful one
+RECENT_US = 2_000_000  # an answer so recent tells that a server is there
+
+
+@dataclass(frozen=True, slots=True)
+class PlanSettings:
+    """``most``: connections in all; ``idle_us``: the longest that a server keeps an idle one; ``making``: of one
+    server, being made at once; ``waiting``: attempts that may wait for one server's connections being made;
+    ``ahead``: spares beyond the demand; ``pace_us``: between two that are opened ahead."""
+
+    most: int
+    idle_us: int
+    proof_us: int = 1_000_000
+    making: int = 8
+    waiting: int = 20
+    ahead: int = 1
+    pace_us: int = 50_000
+    age_us: int = 600_000_000
+    age_jitter: float = 0.3
+
+    def __post_init__(self) -> None:
+        for name in ("most", "idle_us", "proof_us", "making", "pace_us", "age_us"):
+            if getattr(self, name) <= 0:
+                raise ValueError(f"{name}: must be above 0")
+        if self.ahead < 0 or self.waiting < 0:
+            raise ValueError("ahead, waiting: must not be negative")
+        if not 0 <= self.age_jitter < 1:
+            raise ValueError("age_jitter: must lie in 0 .. 1")
+
+
+class Answer(Enum):
+    """What an attempt is told."""
+
+    USE = "use"  # the connection named
+    OPEN = "open"  # make the connection named; the attempt waits for it, or for another that is free sooner
+    WAIT = "wait"  # for a connection that is being made already
+    CANNOT = "cannot"  # nothing can be had now: it never ran, and may go elsewhere at once
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    """The answer to ``take``; ``close`` names connections that have to go first."""
+
+    answer: Answer
+    connection: int = -1
+    close: tuple[int, ...] = ()
+
+
+class _Connection:
+    __slots__ = ("number", "server", "state", "made_at", "proven_at", "idle_at", "retire_at")
+
+    def __init__(self, number: int, server: _Server, now: int) -> None:
+        self.number, self.server, self.state = number, server, "making"
+        self.made_at = self.proven_at = self.idle_at = now
+        self.retire_at = 0
+
+
+class _Server:
+    """One server's part of the plan."""
+
+    __slots__ = (
+        "id", "idle", "busy", "making", "waiting", "mean", "variance", "peak", "seen_at", "limit", "limit_at",
+        "idle_time", "answered_at", "opened_ahead_at", "warm", "gone",
+    )
+
+    def __init__(self, id: str, told_us: int, now: int) -> None:
+        self.id = id
+        self.idle: deque[_Connection] = deque()  # the most recently proven last
+        self.busy = self.making = self.waiting = 0
+        self.mean = self.variance = self.peak = 0.0
+        self.seen_at = now
+        self.limit = 0  # 0: none is known
+        self.limit_at = 0
+        self.idle_time = IdleTime(told_us, now)
+        self.answered_at = -RECENT_US
+        self.opened_ahead_at = now
+        self.warm = 1.0
+        self.gone = False
+
+    @property
+    def held(self) -> int:
+        return len(self.idle) + self.busy + self.making
+
+    def see(self, now: int) -> None:
+        """Let the time since the last look count with the number in use then."""
+        gap = now - self.seen_at
+        if gap <= 0:
+            return
+        self.seen_at = now
+        keep = exp(-gap / MEMORY_US)
+        off = self.busy - self.mean
+        self.mean += (1 - keep) * off
+        self.variance = keep * (self.variance + (1 - keep) * off * off)
+        self.peak = max(float(self.busy), self.peak * keep)
+
+    def want(self) -> int:
+        """Connections that the demand calls for."""
+        return max(1, ceil(self.mean), ceil(min(self.peak, self.mean + DEVIATIONS * sqrt(self.variance))))
+
+
+class Plan:
+    """All connections of a node to its servers."""
+
+    def __init__(self, settings: PlanSettings, seed: int) -> None:
+        self.settings = settings
+        self.rng = random.Random(seed)
+        self.servers: dict[str, _Server] = {}
+        self.connections: dict[int, _Connection] = {}
+        self.idle: OrderedDict[int, _Connection] = OrderedDict()  # of all servers, the longest idle first
+        self.ages: list[tuple[int, int]] = []  # heap of (when one is to be retired, connection)
+        self.serial = 0
+
+    # ------------------------------------------------------------ servers
+
+    def place(self, server: str, now: int) -> list[int]:
+        """A server, or the same one started anew or at another address; the connections to the old one that
+        have to be closed.  Those in use go on and are not kept."""
+        close = self.remove(server)
+        self.servers[server] = _Server(server, self.settings.idle_us, now)
+        return close
+
+    def remove(self, server: str) -> list[int]:
+        """A server is gone; its idle connections, to be closed."""
+        s = self.servers.pop(server, None)
+        if s is None:
+            return []
+        s.gone = True
+        return [self._drop(c) for c in list(s.idle)]
+
+    def warmth(self, server: str, share: float) -> None:
+        """The share of its capacity that a server is presumed to have: cold ones get fewer new connections."""
+        s = self.servers.get(server)
+        if s is not None:
+            s.warm = min(1.0, max(0.01, share))
+
+    # ------------------------------------------------------------ an attempt
+
+    def take(self, server: str, now: int, *, proof: bool) -> Told:
+        """A connection for an attempt.  ``proof``: it may go only over one proven alive of late."""
+        s = self.servers.get(server)
+        if s is None:
+            return Told(Answer.CANNOT)
+        s.see(now)
+        close: list[int] = []
+        while s.idle:
+            c = s.idle[-1]
+            if c.retire_at <= now or self._stale(s, c, now):
+                close.append(self._drop(c))
+                continue
+            if proof and now - c.proven_at > self.settings.proof_us:
+                break  # the most recently proven: the others are no better
+            s.idle.pop()
+            del self.idle[c.number]
+            c.state = "busy"
+            s.busy += 1
+            return Told(Answer.USE, c.number, tuple(close))
+        if s.making >= self._making_most(s) or self._at_limit(s, now):
+            if s.making and s.waiting < self.settings.waiting:
+                s.waiting += 1
+                return Told(Answer.WAIT, -1, tuple(close))
+            return Told(Answer.CANNOT, -1, tuple(close))
+        if len(self.connections) >= self.settings.most:
+            victim = self._least_useful(s)
+            if victim is None:
+                return Told(Answer.CANNOT, -1, tuple(close))
+            close.append(self._drop(victim))
+        s.waiting += 1
+        return Told(Answer.OPEN, self._make(s, now), tuple(close))
+
+    def waits_no_more(self, server: str) -> None:
+        """An attempt that waited for a connection has one, or has gone."""
+        s = self.servers.get(server)
+        if s is not None and s.waiting:
+            s.waiting -= 1
+
+    def _stale(self, s: _Server, c: _Connection, now: int) -> bool:
+        return now - c.idle_at >= s.idle_time.retire_after_us(now)
+
+    def _making_most(self, s: _Server) -> int:
+        """New connections cost a server work: a cold one gets fewer at once."""
+        return max(1, int(self.settings.making * s.warm))
+
+    def _at_limit(self, s: _Server, now: int) -> bool:
+        if s.limit and now - s.limit_at >= FORGET_US:
+            s.limit += 1
+            s.limit_at = now
+        return bool(s.limit) and s.held >= s.limit
+
+    def _make(self, s: _Server, now: int) -> int:
+        self.serial += 1
+        c = self.connections[self.serial] = _Connection(self.serial, s, now)
+        s.making += 1
+        return c.number
+
+    def _least_useful(self, asker: _Server) -> _Connection | None:
+        """Of those idle longest the first that is not its server's only one; such a one only for a server that
+        has none itself."""
+        only: _Connection | None = None
+        for i, c in enumerate(self.idle.values()):
+            if i >= LOOK:
+                break
+            if c.server.held > 1:
+                return c
+            only = only or c
+        return only if asker.held == 0 else None
+
+    # ------------------------------------------------------------ what happens
+
+    def opened(self, number: int, now: int, *, taken: bool) -> bool:
+        """A connection is up.  ``taken``: an attempt goes out on it at once.  False: it is not wanted."""
+        c = self.connections.get(number)
+        if c is None or c.state != "making":
+            return False
+        c.server.making -= 1
+        c.made_at = c.proven_at = now
+        jitter = 1 - self.settings.age_jitter * self.rng.random()
+        c.retire_at = now + int(self.settings.age_us * jitter)
+        if c.server.gone:
+            del self.connections[number]
+            return False
+        heappush(self.ages, (c.retire_at, number))
+        if len(self.ages) > 64 + 4 * len(self.connections):  # most are gone long since
+            self.ages = [row for row in self.ages if row[1] in self.connections]
+            heapify(self.ages)
+        if taken:
+            c.server.see(now)
+            c.server.busy += 1
+            c.state = "busy"
+        else:
+            self._keep(c, now)
+        return True
+
+    def failed(self, number: int, now: int) -> None:
+        """A connection did not come up.  While others to the server are answered, it is full."""
+        c = self.connections.pop(number, None)
+        if c is None or c.state != "making":
+            return
+        s = c.server
+        s.making -= 1
+        standing = len(s.idle) + s.busy
+        if standing and now - s.answered_at < RECENT_US:
+            s.limit, s.limit_at = standing, now
+
+    def answered(self, number: int, now: int, *, keep: bool) -> bool:
+        """The attempt on a connection has ended in order.  True: it is kept; False: close it."""
+        c = self.connections.get(number)
+        if c is None or c.state != "busy":
+            return False
+        s = c.server
+        s.see(now)
+        s.busy -= 1
+        s.answered_at = c.proven_at = now
+        if not keep or s.gone or c.retire_at <= now:
+            del self.connections[number]
+            return False
+        self._keep(c, now)
+        return True
+
+    def reused(self, number: int, idle_us: int, now: int) -> None:
+        """The first byte of an answer came on a connection that had been idle so long."""
+        c = self.connections.get(number)
+        if c is not None:
+            c.server.idle_time.answered(idle_us, now)
+
+    def ended(self, number: int, now: int, *, idle_us: int = -1) -> None:
+        """A connection is no more.  ``idle_us``: it was the server's doing, after so long idle (a close while it
+        stood idle, or a break as it was used again before anything had come)."""
+        c = self.connections.pop(number, None)
+        if c is None:
+            return
+        s = c.server
+        if c.state == "idle":
+            s.idle.remove(c)
+            del self.idle[number]
+        elif c.state == "busy":
+            s.see(now)
+            s.busy -= 1
+        else:
+            s.making -= 1
+        if idle_us >= 0:
+            s.idle_time.ended(idle_us, now)
+
+    def _keep(self, c: _Connection, now: int) -> None:
+        c.state = "idle"
+        c.idle_at = now
+        c.server.idle.append(c)
+        self.idle[c.number] = c
+
+    def _drop(self, c: _Connection) -> int:
+        """Forget an idle connection; its number, for the host to close."""
+        if c.server.idle and c.server.idle[-1] is c:
+            c.server.idle.pop()
+        else:
+            c.server.idle.remove(c)
+        del self.idle[c.number]
+        del self.connections[c.number]
+        return c.number
+
+    # ------------------------------------------------------------ time
+
+    def tick(self, now: int) -> tuple[list[int], list[tuple[str, int]]]:
+        """What to close (retired, or beyond the demand), and what to open ahead, as server and connection."""
+        close: list[int] = []
+        ahead: list[tuple[str, int]] = []
+        while self.ages and self.ages[0][0] <= now:
+            c = self.connections.get(heappop(self.ages)[1])
+            if c is not None and c.state == "idle":
+                close.append(self._drop(c))  # one in use goes when its answer has come
+        for s in self.servers.values():
+            s.see(now)
+            while s.idle and self._stale(s, s.idle[0], now):
+                close.append(self._drop(s.idle[0]))
+            if self._wants_spare(s, now):
+                s.opened_ahead_at = now
+                ahead.append((s.id, self._make(s, now)))
+        return close, ahead
+
+    def _wants_spare(self, s: _Server, now: int) -> bool:
+        if s.peak < 0.5 or s.making or now - s.opened_ahead_at < self.settings.pace_us / s.warm:
+            return False
+        if len(self.connections) >= self.settings.most or self._at_limit(s, now):
+            return False
+        return len(s.idle) < self.settings.ahead and s.held < s.want() + self.settings.ahead
