Let the lab's servers keep connections for less than nodes are told, and mark what meets a dead one

Need: a server that drops idle connections without a word has to be met in a test, and a request written to such a connection has to be seen, though nobody reads it.

Change: `[[servers]] idle_told_s`; the fleet peeks at what lies unread on connections that it dropped and marks it `stale` with its class.

--- a/headspar/lab/cash_server.py
+++ b/headspar/lab/cash_server.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import random
 import socket
 import struct
@@ -320,12 +321,30 @@
         limit = min(self.plan.idle_us, SILENT_AFTER_US) if self.faults.idle_silent else self.plan.idle_us
         silent = self.plan.silent or self.faults.idle_silent
         for conn in list(self.connections):
-            if conn.row is None and not conn.got and now - conn.idle_at >= limit:
+            if conn.silent:
+                self._heard_by_nobody(conn, now)
+            elif conn.row is None and not conn.got and now - conn.idle_at >= limit:
                 if silent:
                     conn.go_silent()
                 else:
                     conn.close()
 
+    def _heard_by_nobody(self, conn: Connection, now: int) -> None:
+        """A request that was written to a connection which is dead on this side: marked, once, with its class."""
+        if conn.got or conn.transport is None:
+            return
+        with socket.socket(fileno=os.dup(conn.transport.get_extra_info("socket").fileno())) as sock:
+            try:
+                data = sock.recv(2048, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+            except OSError:
+                return
+        at = data.find(b"X-Call-Id: ")
+        found = read_call_id(self.world.plan.salt, data[at + 11:at + 27].decode("latin-1")) if at >= 0 else None
+        if found is not None:
+            conn.got = len(data)
+            spec = self.world.scenario.classes[self.world.plan.calls[found[0]].cls]
+            self.world.marks.append(Mark(now, "stale", self.plan.id, spec.name))
+
     def reset_byte(self) -> int:
         """After how many bytes the request that begins is to be reset; -1: it is not."""
         f = self.faults
--- a/headspar/lab/nodes.py
+++ b/headspar/lab/nodes.py
@@ -24,7 +24,7 @@
     """The settings object of a node's configuration."""
     total = sum(a.share for a in s.agents)
     rules = s.rules
-    idle = min(g.idle_s for g in s.servers)
+    idle = min(g.idle_told_s or g.idle_s for g in s.servers)
     return {
         "az": s.servers[0].sites[me % len(s.servers[0].sites)], "balancers": s.nodes.count, "me": me,
         "counted_by": "work", "quantum_us": 5000, "over_share_worth": rules.over_share_worth,
--- a/headspar/lab/report.py
+++ b/headspar/lab/report.py
@@ -22,7 +22,7 @@
 
 BARS = " ▁▂▃▄▅▆▇█"
 STATE_STYLE = {"warm": "green", "cold": "cyan", "draining": "yellow", "down": "red", "silent": "magenta"}
-QUIET = ("node_start", "node_exit", "lab")  # marks that are no faults
+QUIET = ("node_start", "node_exit", "lab", "stale")  # marks that are no faults
 
 
 def spark(values: list[float], top: float | None = None) -> str:
--- a/headspar/lab/scenario.py
+++ b/headspar/lab/scenario.py
@@ -50,6 +50,7 @@
     connections: int = 500
     connection_cost_us: float = 1000.0
     idle_s: float = 15.0
+    idle_told_s: float = 0.0  # what nodes are told of it; 0: the truth
     idle_close: Literal["fin", "silent"] = "fin"
     cold_share: float = 0.2
     ramp_s: float = 20.0
@@ -292,6 +293,7 @@
         _want(g.connections >= 1, f"{at}.connections", "at least 1")
         _want(g.connection_cost_us >= 0, f"{at}.connection_cost_us", "must not be negative")
         _above(g.idle_s, f"{at}.idle_s")
+        _want(g.idle_told_s >= 0, f"{at}.idle_told_s", "must not be negative")
         _want(0 < g.cold_share <= 1, f"{at}.cold_share", "must lie above 0 and at most 1")
         _above(g.ramp_s, f"{at}.ramp_s")
         _share(g.error_rate, f"{at}.error_rate")
