Send keyed requests only over connections proven of late; learn servers' idle times

Cause: the node found out that a kept connection was dead by losing a request on it, keyed ones too, and scanned all hosts for the oldest idle one whenever descriptors ran short.

Change: `node/backends.py` is the socket side of `connections.Plan`. Keyed and unsafe classes go only over a connection proven within 2 s, or a new one. Ages have a jitter. Learned limits, spares and waiting stay off until they are measured.

--- a/headspar/connections/idle_time.py
+++ b/headspar/connections/idle_time.py
@@ -1,51 +1,90 @@
-"""How long a server keeps an idle connection, learned from how its connections end; without I/O.
+"""How long servers keep an idle connection, learned from how reuse ends; without I/O.
 
-The time is told nowhere, or as an upper bound.  Two things are seen of it: a close by the server after so long
-idle, and a reset (or silence) when a connection was used again after so long.  Both bound it from above; an
-answer on a connection used again after so long bounds it from below.  The estimate follows the upper bounds down
-at once and drifts up again by ``DRIFT`` a second, since a server that is replaced, or a timer that was only
-early once, must not shorten connections' lives for good.  Connections go at ``MARGIN`` of it.
+The time is told nowhere, or as an upper bound, and a server may drop connections without a word.  What is seen:
+after so long idle a connection was used again and answered, or it broke (or was closed by the server as it stood
+idle).  Both are counted in buckets of idle time that double in width, and fade.  Connections are retired at the
+lower edge of the first bucket in which more than ``TOO_MANY`` of the ends were breaks.
+
+Breaks alone would not do: connections also break for other reasons, at any idle time, and those must not turn
+over connections in steady use; they are few beside the answers of the same bucket.  As counts fade, longer idle
+times are tried again, so a bound that was learned drifts up by itself.  Servers of one deployment mostly share
+their settings: what is seen of all counts for each as a part of its own evidence.
 """
 
 from __future__ import annotations
 
-MARGIN = 0.8  # of what is believed, at which a connection is retired
-CUT = 0.9  # of the idle time at which one was seen to end
-DRIFT = 0.01  # a second, of the time that was told
-LEAST_US = 50_000  # beneath this no connection would be kept at all
+from math import exp
 
+FIRST_US = 25_000  # upper edge of the first bucket; what broke there did not break of its idleness
+TOO_MANY = 0.3  # of a bucket's ends: a lost attempt costs more than a new connection
+ENOUGH = 2.0  # breaks that are evidence at all
+MEMORY_US = 30_000_000
+SHARED = 0.3  # weight of what was seen of other servers
+MARGIN = 0.8  # of the time that was told
+
+
+def bucket(idle_us: int) -> int:
+    """0 beneath ``FIRST_US``, then one more for each doubling."""
+    return max(0, idle_us // FIRST_US).bit_length()
 
-class IdleTime:
-    """One server's idle time, in microseconds."""
 
-    __slots__ = ("told_us", "believed_us", "proven_us", "at")
+class Evidence:
+    """Breaks and answers by bucket of idle time, fading."""
 
-    def __init__(self, told_us: int, now: int) -> None:
-        """``told_us``: the longest that it can be, as the deployment says."""
-        self.told_us = told_us
-        self.believed_us = float(told_us)
-        self.proven_us = 0  # the longest idleness after which one was answered, since the last cut
-        self.at = now
+    __slots__ = ("broke", "good", "at")
 
-    def _drift(self, now: int) -> None:
-        if now > self.at:
-            self.believed_us = min(self.told_us, self.believed_us + self.told_us * DRIFT * (now - self.at) / 1e6)
+    def __init__(self, buckets: int, now: int) -> None:
+        self.broke, self.good, self.at = [0.0] * buckets, [0.0] * buckets, now
+
+    def fade(self, now: int) -> None:
+        if now - self.at >= 1_000_000:
+            keep = exp((self.at - now) / MEMORY_US)
             self.at = now
+            for row in (self.broke, self.good):
+                for k, value in enumerate(row):
+                    row[k] = value * keep
+
+
+class IdleTime:
+    """One server's idle time; ``pool`` is what was seen of all servers, ``told_us`` the longest it can be."""
+
+    __slots__ = ("told_us", "own", "pool", "limit_us")
+
+    def __init__(self, told_us: int, pool: Evidence, now: int) -> None:
+        self.told_us, self.pool = told_us, pool
+        self.own = Evidence(len(pool.broke), now)
+        self.limit_us = self._limit()
 
     def ended(self, idle_us: int, now: int) -> None:
-        """The server closed, or proved to have dropped, a connection that had been idle so long."""
-        self._drift(now)
-        self.believed_us = max(float(LEAST_US), min(self.believed_us, CUT * idle_us))
-        self.proven_us = min(self.proven_us, int(self.believed_us))
+        """A connection was closed by the server, or broke as it was used again, after so long idle."""
+        self._count(idle_us, now, True)
+        self.limit_us = self._limit()
 
     def answered(self, idle_us: int, now: int) -> None:
-        """One was answered after it had been idle so long: it is kept at least that long."""
-        self._drift(now)
-        if idle_us > self.proven_us:
-            self.proven_us = min(idle_us, self.told_us)
-            self.believed_us = max(self.believed_us, float(self.proven_us))
+        """One was used again after so long idle, and answered."""
+        self._count(idle_us, now, False)
+
+    def _count(self, idle_us: int, now: int, broke: bool) -> None:
+        k = min(len(self.own.broke) - 1, bucket(idle_us))
+        for evidence in (self.own, self.pool):
+            evidence.fade(now)
+            (evidence.broke if broke else evidence.good)[k] += 1.0
+
+    def refresh(self, now: int) -> None:
+        """Let what was seen fade; the host asks for it now and then."""
+        self.own.fade(now)
+        self.pool.fade(now)
+        self.limit_us = self._limit()
+
+    def _limit(self) -> int:
+        own, pool = self.own, self.pool
+        for k in range(1, len(own.broke)):
+            broke = own.broke[k] + SHARED * pool.broke[k]
+            good = own.good[k] + SHARED * pool.good[k]
+            if broke >= ENOUGH and broke > TOO_MANY * (broke + good):
+                return min(int(MARGIN * self.told_us), FIRST_US << (k - 1))
+        return int(MARGIN * self.told_us)
 
-    def retire_after_us(self, now: int) -> int:
+    def retire_after_us(self) -> int:
         """How long a connection may stand idle before it goes."""
-        self._drift(now)
-        return int(MARGIN * self.believed_us)
+        return self.limit_us
--- a/headspar/connections/plan.py
+++ b/headspar/connections/plan.py
@@ -35,12 +35,13 @@
 from heapq import heapify, heappop, heappush
 from math import ceil, exp, sqrt
 
-from headspar.connections.idle_time import IdleTime
+from headspar.connections.idle_time import Evidence, IdleTime, bucket
 
 FORGET_US = 5_000_000  # after which a learned limit is tried one higher
 MEMORY_US = 5_000_000  # of the demand
 DEVIATIONS = 3.0
 LOOK = 16  # idle connections that are looked at for the least useful one
+BURST_US = 200_000  # idle connections of one server that end within it ended with their server, not of idleness
 RECENT_US = 2_000_000  # an answer so recent tells that a server is there
 
 
@@ -59,6 +60,7 @@
     pace_us: int = 50_000
     age_us: int = 600_000_000
     age_jitter: float = 0.3
+    learn_limit: bool = True  # whether failed connects tell how many connections a server accepts
 
     def __post_init__(self) -> None:
         for name in ("most", "idle_us", "proof_us", "making", "pace_us", "age_us"):
@@ -102,10 +104,10 @@
 
     __slots__ = (
         "id", "idle", "busy", "making", "waiting", "mean", "variance", "peak", "seen_at", "limit", "limit_at",
-        "idle_time", "answered_at", "opened_ahead_at", "warm", "gone",
+        "idle_time", "answered_at", "ended_at", "opened_ahead_at", "warm", "gone",
     )
 
-    def __init__(self, id: str, told_us: int, now: int) -> None:
+    def __init__(self, id: str, told_us: int, pool: Evidence, now: int) -> None:
         self.id = id
         self.idle: deque[_Connection] = deque()  # the most recently proven last
         self.busy = self.making = self.waiting = 0
@@ -113,8 +115,9 @@
         self.seen_at = now
         self.limit = 0  # 0: none is known
         self.limit_at = 0
-        self.idle_time = IdleTime(told_us, now)
+        self.idle_time = IdleTime(told_us, pool, now)
         self.answered_at = -RECENT_US
+        self.ended_at = -BURST_US
         self.opened_ahead_at = now
         self.warm = 1.0
         self.gone = False
@@ -150,6 +153,7 @@
         self.connections: dict[int, _Connection] = {}
         self.idle: OrderedDict[int, _Connection] = OrderedDict()  # of all servers, the longest idle first
         self.ages: list[tuple[int, int]] = []  # heap of (when one is to be retired, connection)
+        self.evidence = Evidence(bucket(settings.idle_us) + 1, 0)  # of idle times, of all servers
         self.serial = 0
 
     # ------------------------------------------------------------ servers
@@ -158,7 +162,7 @@
         """A server, or the same one started anew or at another address; the connections to the old one that
         have to be closed.  Those in use go on and are not kept."""
         close = self.remove(server)
-        self.servers[server] = _Server(server, self.settings.idle_us, now)
+        self.servers[server] = _Server(server, self.settings.idle_us, self.evidence, now)
         return close
 
     def remove(self, server: str) -> list[int]:
@@ -169,6 +173,11 @@
         s.gone = True
         return [self._drop(c) for c in list(s.idle)]
 
+    def doubt(self, server: str) -> list[int]:
+        """A server is silent: what stands idle to it may be dead too.  The idle connections, to be closed."""
+        s = self.servers.get(server)
+        return [self._drop(c) for c in list(s.idle)] if s is not None else []
+
     def warmth(self, server: str, share: float) -> None:
         """The share of its capacity that a server is presumed to have: cold ones get fewer new connections."""
         s = self.servers.get(server)
@@ -216,7 +225,7 @@
             s.waiting -= 1
 
     def _stale(self, s: _Server, c: _Connection, now: int) -> bool:
-        return now - c.idle_at >= s.idle_time.retire_after_us(now)
+        return now - c.idle_at >= s.idle_time.retire_after_us()
 
     def _making_most(self, s: _Server) -> int:
         """New connections cost a server work: a cold one gets fewer at once."""
@@ -280,7 +289,7 @@
         s = c.server
         s.making -= 1
         standing = len(s.idle) + s.busy
-        if standing and now - s.answered_at < RECENT_US:
+        if self.settings.learn_limit and standing and now - s.answered_at < RECENT_US:
             s.limit, s.limit_at = standing, now
 
     def answered(self, number: int, now: int, *, keep: bool) -> bool:
@@ -314,6 +323,10 @@
         if c.state == "idle":
             s.idle.remove(c)
             del self.idle[number]
+            if idle_us >= 0:
+                burst, s.ended_at = now - s.ended_at < BURST_US, now
+                if burst:
+                    return
         elif c.state == "busy":
             s.see(now)
             s.busy -= 1
@@ -350,6 +363,7 @@
                 close.append(self._drop(c))  # one in use goes when its answer has come
         for s in self.servers.values():
             s.see(now)
+            s.idle_time.refresh(now)
             while s.idle and self._stale(s, s.idle[0], now):
                 close.append(self._drop(s.idle[0]))
             if self._wants_spare(s, now):
--- a/headspar/node/backends.py
+++ b/headspar/node/backends.py
@@ -8,18 +8,21 @@
 
 import asyncio
 import select
+from collections.abc import Iterable
 from typing import Any, cast
 
 import httptools
 
 from headspar.config import Address
-from headspar.interface import Outcome
+from headspar.connections.plan import Answer, Plan, PlanSettings
+from headspar.interface import Effect, Outcome
 from headspar.node.core import Attempt, Node, now_us
 
 WHOLE = 64 * 1024  # answers up to this size are held whole, so that a broken one can be tried again
 MAX_BODY = 32 * 1024 * 1024
 MAX_HEAD = 64 * 1024
-KEEP_SHARE = 0.8
+PROOF_US = 2_000_000  # what carries a key, or may not be repeated, goes only over a connection proven since
+MAKING = 64  # to one server at once; no attempt waits for another's connection
 STREAM_STALL_US = 3_000_000
 
 
@@ -44,12 +47,11 @@
 class Host:
     """One backend, by discovery's id: where it listens and its connections."""
 
-    __slots__ = ("id", "address", "name", "started_at", "idle", "heard_at")
+    __slots__ = ("id", "address", "name", "started_at", "heard_at")
 
     def __init__(self, id: str, address: Address, started_at: int) -> None:
         self.id, self.address, self.started_at = id, address, started_at
         self.name = f"{address[0]}:{address[1]}".encode()
-        self.idle: list[Connection] = []
         self.heard_at = 0  # when a byte last came from it
 
 
@@ -57,18 +59,20 @@
     """A connection to a backend, from its first attempt to its end."""
 
     __slots__ = (
-        "pool", "host", "transport", "poller", "attempt", "unsent", "idle_at", "heard_at", "closed", "parser",
+        "pool", "host", "number", "transport", "poller", "attempt", "unsent", "idle_at", "idle_us", "heard_at",
+        "closed", "parser",
         "status", "rejected", "framed", "length", "report", "content_type", "body", "size", "head_size",
         "in_body", "complete", "keep", "surplus", "streaming", "paused",
     )
 
-    def __init__(self, pool: Backends, host: Host, attempt: Attempt) -> None:
-        self.pool, self.host = pool, host
+    def __init__(self, pool: Backends, host: Host, number: int, attempt: Attempt) -> None:
+        self.pool, self.host, self.number = pool, host, number
         self.attempt: Attempt | None = attempt
         self.transport: asyncio.Transport | None = None
         self.unsent = True
         self.closed = False
         self.idle_at = self.heard_at = 0
+        self.idle_us = -1  # how long it stood idle before the request that is out; -1: its first, or answered
         self.paused = False
         self.parser: Any = httptools.HttpResponseParser(self)
         self._reset()
@@ -97,6 +101,7 @@
         transport, r = self.transport, attempt.request
         assert transport is not None
         self.attempt, attempt.conn = attempt, self
+        self.idle_us = now - self.idle_at if self.idle_at else -1
         self.heard_at = now
         self.unsent = True
         head = b"".join((
@@ -128,14 +133,16 @@
     def close(self) -> None:
         if not self.closed:
             self.closed = True
-            self.pool.lost(self)
+            self.pool.lost(self, -1)
             if self.transport is not None:
                 self.transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.closed = True
-        self.pool.lost(self)
         attempt = self.attempt
+        if not self.closed:
+            self.closed = True
+            # Whether it was the server's doing, after so long idle: while it stood so, or as it was used again.
+            self.pool.lost(self, now_us() - self.idle_at if attempt is None and self.idle_at else self.idle_us)
         if attempt is None:
             self.parser = None
             return
@@ -158,6 +165,9 @@
             return
         now = now_us()
         self.heard_at = self.host.heard_at = now
+        if self.idle_us >= 0:
+            self.pool.plan.reused(self.number, self.idle_us, now)
+            self.idle_us = -1
         if not self.in_body:
             self.head_size += len(data)
         try:
@@ -284,30 +294,36 @@
 
 
 class Backends:
-    """All connections to backends, within one budget of descriptors."""
+    """All connections to backends, within one budget of descriptors: the socket side of ``connections.Plan``."""
 
     def __init__(self, node: Node, most: int, budget: Budget) -> None:
         self.node, self.most, self.budget = node, most, budget
         self.hosts: dict[str, Host] = {}
-        self.connections: set[Connection] = set()
+        self.connections: dict[int, Connection] = {}  # by the plan's numbers
         self.tasks: set[asyncio.Task[None]] = set()
-        self.connect_timeout = node.settings.connect_timeout_us / 1e6
-        self.keep_us = int(KEEP_SHARE * node.settings.idle_close_us)
+        settings = node.settings
+        self.connect_timeout = settings.connect_timeout_us / 1e6
+        self.repeatable = {c.name for c in settings.classes if c.effect is Effect.RETRYABLE}
+        # Limits that are learned and spares are not switched on yet: without them being measured on the bench.
+        self.plan = Plan(PlanSettings(most, settings.idle_close_us, PROOF_US, making=MAKING, waiting=0, ahead=0,
+                                      learn_limit=False), settings.me)
 
     def place(self, id: str, address: Address, started_at: int) -> None:
         host = self.hosts.get(id)
         if host is None or host.address != address or started_at > host.started_at:
             self.remove(id)
             self.hosts[id] = Host(id, address, started_at)
+            self.plan.place(id, now_us())
 
     def remove(self, id: str) -> None:
-        host = self.hosts.pop(id, None)
-        if host is not None:
-            self._drop_idle(host)
+        if self.hosts.pop(id, None) is not None:
+            self._close(self.plan.remove(id))
 
-    def _drop_idle(self, host: Host) -> None:
-        for conn in host.idle[:]:
-            conn.close()
+    def _close(self, numbers: Iterable[int]) -> None:
+        for number in numbers:
+            conn = self.connections.get(number)
+            if conn is not None:
+                conn.close()
 
     def start(self, attempt: Attempt) -> None:
         host = self.hosts.get(attempt.backend)
@@ -315,18 +331,28 @@
             self.node.end(attempt, Outcome.MOOT)
             return
         now = now_us()
-        while host.idle:
-            conn = host.idle.pop()
-            if conn.usable():
-                conn.send(attempt, now)
-                return
-            conn.close()
-        if len(self.connections) >= self.most and not self._close_oldest():
+        proof = attempt.request.cls not in self.repeatable
+        while True:
+            told = self.plan.take(host.id, now, proof=proof)
+            if told.close:
+                self._close(told.close)
+            if told.answer is Answer.USE:
+                conn = self.connections[told.connection]
+                if conn.usable():
+                    conn.send(attempt, now)
+                    return
+                idle_us = now - conn.idle_at
+                self.plan.ended(told.connection, now, idle_us=idle_us)
+                conn.close()
+                continue
+            break
+        if told.answer is not Answer.OPEN:
             self.node.end(attempt, Outcome.MOOT)
             return
-        conn = Connection(self, host, attempt)
+        self.plan.waits_no_more(host.id)
+        conn = Connection(self, host, told.connection, attempt)
         attempt.conn = conn
-        self.connections.add(conn)
+        self.connections[told.connection] = conn
         task = self.node.loop.create_task(self._connect(conn))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
@@ -345,51 +371,49 @@
         attempt = conn.attempt
         if conn.closed:
             return
-        if attempt is None:
-            conn.complete, conn.unsent = True, False
-            conn._reset()
-            self.keep(conn)
-        elif not attempt.request.live:
+        live = attempt is not None and attempt.request.live
+        wanted = self.plan.opened(conn.number, now_us(), taken=live)
+        if attempt is not None and not live:
+            conn.attempt = None
+            attempt.conn = None
             self.node.end(attempt, Outcome.MOOT)
-        else:
+        if attempt is not None and live:
+            # To a host that is gone by now it still goes, as one that was under way; it is not kept.
             conn.send(attempt, now_us())
+        elif wanted:
+            conn.idle_at = now_us()
+            conn.unsent = False
+            conn._reset()
+        else:
+            conn.close()
 
     def _connect_failed(self, conn: Connection) -> None:
-        conn.closed = True
-        self.connections.discard(conn)
+        if not conn.closed:
+            conn.closed = True
+            self.connections.pop(conn.number, None)
+            self.plan.failed(conn.number, now_us())
         if conn.attempt is not None:
             self.node.end(conn.attempt, Outcome.CONNECT_FAILED)
 
     def keep(self, conn: Connection) -> None:
-        if self.hosts.get(conn.host.id) is not conn.host:
+        """Its answer was whole and in order."""
+        now = now_us()
+        conn.idle_at = now
+        if not self.plan.answered(conn.number, now, keep=True):
             conn.close()
-            return
-        conn.idle_at = now_us()
-        conn.host.idle.append(conn)
-
-    def lost(self, conn: Connection) -> None:
-        self.connections.discard(conn)
-        if conn in conn.host.idle:
-            conn.host.idle.remove(conn)
 
-    def _close_oldest(self) -> bool:
-        idle = [host.idle[0] for host in self.hosts.values() if host.idle]
-        if not idle:
-            return False
-        oldest = min(idle, key=lambda c: c.idle_at)
-        oldest.close()
-        return True
+    def lost(self, conn: Connection, idle_us: int) -> None:
+        self.connections.pop(conn.number, None)
+        self.plan.ended(conn.number, now_us(), idle_us=idle_us)
 
     def doubt(self, attempt: Attempt) -> None:
         host = self.hosts.get(attempt.backend)
         if host is not None and host.heard_at < attempt.sent_at:
-            self._drop_idle(host)
+            self._close(self.plan.doubt(host.id))
 
     def sweep(self, now: int) -> None:
-        for host in self.hosts.values():
-            while host.idle and now - host.idle[0].idle_at > self.keep_us:
-                host.idle[0].close()
-        for conn in list(self.connections):
+        self._close(self.plan.tick(now)[0])
+        for conn in list(self.connections.values()):
             attempt = conn.attempt
             if attempt is not None and conn.streaming and not conn.paused:
                 if now - conn.heard_at > STREAM_STALL_US:
--- /dev/null
+++ b/tests/connections/test_stale.py
@@ -0,0 +1,43 @@
+"""Real nodes before servers that drop idle connections without a word, told that they keep them far longer."""
+
+from __future__ import annotations
+
+from collections import Counter
+from pathlib import Path
+
+from headspar.lab.records import Fate
+from headspar.lab.scenario import parse
+from tests.lab.test_nodes_under_faults import judged
+
+SILENT = '''
+name = "silent closes"
+length_s = 14
+[nodes]
+count = 1
+peers = false
+[[servers]]
+count = 9
+idle_s = 2.5
+idle_told_s = 15
+idle_close = "silent"
+[load]
+rps = 6
+keys = 400
+zipf = 0.0
+[callers]
+retries = 0
+'''
+
+
+def test_no_payment_goes_over_a_connection_that_has_gone_stale(tmp_path: Path) -> None:
+    result = judged(parse(SILENT), tmp_path)
+    assert result.verdict.clean, result.verdict.kinds
+    stale = Counter(m.text for m in result.recording.marks if m.what == "stale")
+    assert not stale.keys() - {"consultar-deuda"}, stale
+    classes = result.recording.rules.classes
+    keyed = {i for i, call in enumerate(result.recording.rules.calls) if classes[call.cls].effect == "dedup"}
+    assert len(keyed) > 30 and stale["consultar-deuda"] > 0  # lookups did meet dead ones
+    sent = Counter(s.call for s in result.recording.sent if s.call in keyed)
+    assert set(sent.values()) == {1}  # none had to be sent a second time
+    assert all(a.status == 200 for a in result.recording.asks if a.call in keyed)
+    assert all(s.fate is Fate.DONE for s in result.recording.sent if s.call in keyed)
