--- a/tests/lab/test_machine.py
+++ b/tests/lab/test_machine.py
@@ -78,6 +78,15 @@
     assert list(ends(m)) == [1]
 
 
+def test_a_new_connection_costs_work_and_holds_no_slot() -> None:
+    m = machine()
+    m.arrive(0, 1, 10_000, 0)
+    m.arrive(0, 2, 10_000, 0)
+    m.connected(0, 10_000)
+    assert m.load() == (2, 0)
+    assert all(at == pytest.approx(15_000, abs=5) for at in ends(m).values())
+
+
 def test_more_than_its_budget_pushes_a_cold_machine_over() -> None:
     # 3 x (2 cores x 0.2) x 1.5 s = 1.8 s of work, and a tenth for chance
     m = machine(started_at=0)
--- a/tests/lab/test_nodes_under_faults.py
+++ b/tests/lab/test_nodes_under_faults.py
@@ -114,6 +114,26 @@
     assert rows and all(s.arrived_at <= s.began_at < s.ended_at for s in rows)
 
 
+def test_the_faults_that_no_scenario_holds_are_met(tmp_path: Path) -> None:
+    text = CALM.replace("length_s = 3", "length_s = 6") + '''
+[[faults]]
+at_s = 0.5
+kind = "spoil"
+servers = 5
+for_s = 2
+share = 0.5
+how = "head"
+[[faults]]
+at_s = 0.5
+kind = "idle_silent"
+servers = 9
+for_s = 5
+'''
+    result = judged(parse(text.replace("rps = 30", "rps = 8")), tmp_path)
+    assert result.verdict.clean, result.verdict.kinds
+    assert fates(result)[Fate.SPOILT] > 0 and marks(result)["stale"] > 0
+
+
 def test_connections_that_are_dropped_silently_are_met(tmp_path: Path) -> None:
     text = CALM.replace("3\n", "4\n", 1) + '[[servers]]\nidle_s = 0.4\nidle_close = "silent"\n'
     result = judged(parse(text), tmp_path)
@@ -197,6 +217,20 @@
     assert "data:image/png;base64" in page.read_text() and "rule" in page.read_text()
 
 
+def test_the_node_command_is_the_platforms_entry() -> None:
+    env = {k: "" for k in ("ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY", "ROUTER_CONFIG")}
+    process = headspar("node", env=env)
+    _, err = process.communicate(timeout=60)
+    assert process.returncode == 2 and err == "headspar: ROUTER_NAME: not set\n"
+
+
+def test_a_node_imports_nothing_of_the_labs() -> None:
+    code = ("import sys, headspar.__main__; print([m for m in sys.modules if m.startswith('headspar.lab')"
+            " or m.partition('.')[0] in ('msgspec', 'typer', 'rich', 'matplotlib', 'numpy', 'click')])")
+    out = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True).stdout
+    assert out == "[]\n"
+
+
 def test_the_scenarios_that_come_along_can_be_read() -> None:
     assert {"due-date", *MET} <= set(scenario_names())
     for name in scenario_names():
--- a/tests/lab/test_plan.py
+++ b/tests/lab/test_plan.py
@@ -90,6 +90,13 @@
     assert max(s.starts_at for s in grown) < 26_000_000
 
 
+def test_bursts_come_at_one_moment_from_one_agent() -> None:
+    p = plan(BASE + "bursts_per_s = 0.5\nburst_size = 12\n")
+    moments = Counter((c.at, c.agent) for c in p.calls)
+    bursts = [n for n in moments.values() if n >= 12]
+    assert 5 <= len(bursts) <= 30 and max(Counter(c.at for c in plan(BASE).calls).values()) < 5
+
+
 def test_utilisation_is_of_the_warm_capacity() -> None:
     p = plan(BASE.replace("rps = 200", "utilisation = 0.5"))
     worked = sum(c.work_us for c in p.calls) / 30
