--- a/headspar/connections/idle_time.py
+++ b/headspar/connections/idle_time.py
@@ -42,7 +42,8 @@
             self.at = now
             for row in (self.broke, self.good):
                 for k, value in enumerate(row):
-                    row[k] = value * keep
+                    if value:
+                        row[k] = value * keep
 
 
 class IdleTime:
@@ -55,20 +56,20 @@
         self.own = Evidence(len(pool.broke), now)
         self.limit_us = self._limit()
 
-    def ended(self, idle_us: int, now: int) -> None:
+    def ended(self, idle_us: int) -> None:
         """A connection was closed by the server, or broke as it was used again, after so long idle."""
-        self._count(idle_us, now, True)
+        k = min(len(self.own.broke) - 1, bucket(idle_us))
+        self.own.broke[k] += 1.0
+        self.pool.broke[k] += 1.0
         self.limit_us = self._limit()
 
-    def answered(self, idle_us: int, now: int) -> None:
-        """One was used again after so long idle, and answered."""
-        self._count(idle_us, now, False)
-
-    def _count(self, idle_us: int, now: int, broke: bool) -> None:
-        k = min(len(self.own.broke) - 1, bucket(idle_us))
-        for evidence in (self.own, self.pool):
-            evidence.fade(now)
-            (evidence.broke if broke else evidence.good)[k] += 1.0
+    def answered(self, idle_us: int) -> None:
+        """One was used again after so long idle, and answered.  On every request's path: it only counts."""
+        k = (idle_us // FIRST_US).bit_length()
+        if k >= len(self.own.good):
+            k = len(self.own.good) - 1
+        self.own.good[k] += 1.0
+        self.pool.good[k] += 1.0
 
     def refresh(self, now: int) -> None:
         """Let what was seen fade; the host asks for it now and then."""
@@ -78,13 +79,10 @@
 
     def _limit(self) -> int:
         own, pool = self.own, self.pool
-        for k in range(1, len(own.broke)):
-            broke = own.broke[k] + SHARED * pool.broke[k]
-            good = own.good[k] + SHARED * pool.good[k]
-            if broke >= ENOUGH and broke > TOO_MANY * (broke + good):
-                return min(int(MARGIN * self.told_us), FIRST_US << (k - 1))
+        if any(pool.broke):  # every break of a server's is in the pool's too
+            for k in range(1, len(own.broke)):
+                broke = own.broke[k] + SHARED * pool.broke[k]
+                good = own.good[k] + SHARED * pool.good[k]
+                if broke >= ENOUGH and broke > TOO_MANY * (broke + good):
+                    return min(int(MARGIN * self.told_us), FIRST_US << (k - 1))
         return int(MARGIN * self.told_us)
-
-    def retire_after_us(self) -> int:
-        """How long a connection may stand idle before it goes."""
-        return self.limit_us
--- a/headspar/connections/plan.py
+++ b/headspar/connections/plan.py
@@ -30,12 +30,13 @@
 
 import random
 from collections import OrderedDict, deque
+from collections.abc import Iterator
 from dataclasses import dataclass
 from enum import Enum
 from heapq import heapify, heappop, heappush
 from math import ceil, exp, sqrt
 
-from headspar.connections.idle_time import Evidence, IdleTime, bucket
+from headspar.connections.idle_time import MARGIN, Evidence, IdleTime, bucket
 
 FORGET_US = 5_000_000  # after which a learned limit is tried one higher
 MEMORY_US = 5_000_000  # of the demand
@@ -81,7 +82,7 @@
     CANNOT = "cannot"  # nothing can be had now: it never ran, and may go elsewhere at once
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Told:
     """The answer to ``take``; ``close`` names connections that have to go first."""
 
@@ -91,11 +92,12 @@
 
 
 class _Connection:
-    __slots__ = ("number", "server", "state", "made_at", "proven_at", "idle_at", "retire_at")
+    __slots__ = ("number", "server", "state", "proven_at", "idle_at", "idle_us", "retire_at")
 
     def __init__(self, number: int, server: _Server, now: int) -> None:
         self.number, self.server, self.state = number, server, "making"
-        self.made_at = self.proven_at = self.idle_at = now
+        self.proven_at = self.idle_at = now
+        self.idle_us = -1  # how long it had stood idle when it was used again; -1: it is on its first request
         self.retire_at = 0
 
 
@@ -103,7 +105,8 @@
     """One server's part of the plan."""
 
     __slots__ = (
-        "id", "idle", "busy", "making", "waiting", "mean", "variance", "peak", "seen_at", "limit", "limit_at",
+        "id", "idle", "busy", "making", "waiting", "mean", "variance", "peak", "area", "area2", "seen_at",
+        "folded_at", "touched", "limit", "limit_at",
         "idle_time", "answered_at", "ended_at", "opened_ahead_at", "warm", "gone",
     )
 
@@ -112,7 +115,9 @@
         self.idle: deque[_Connection] = deque()  # the most recently proven last
         self.busy = self.making = self.waiting = 0
         self.mean = self.variance = self.peak = 0.0
-        self.seen_at = now
+        self.area = self.area2 = 0.0  # of the number in use and its square over time, since the last fold
+        self.seen_at = self.folded_at = now
+        self.touched = False
         self.limit = 0  # 0: none is known
         self.limit_at = 0
         self.idle_time = IdleTime(told_us, pool, now)
@@ -127,16 +132,30 @@
         return len(self.idle) + self.busy + self.making
 
     def see(self, now: int) -> None:
-        """Let the time since the last look count with the number in use then."""
-        gap = now - self.seen_at
-        if gap <= 0:
-            return
+        """Let the time since the last look count with the number in use then.  On every request's path: it only
+        adds up; ``fold`` averages."""
+        gap, busy = now - self.seen_at, self.busy
         self.seen_at = now
-        keep = exp(-gap / MEMORY_US)
-        off = self.busy - self.mean
-        self.mean += (1 - keep) * off
-        self.variance = keep * (self.variance + (1 - keep) * off * off)
+        self.area += gap * busy
+        self.area2 += gap * busy * busy
+        if busy > self.peak:
+            self.peak = busy
+
+    def fold(self, now: int) -> None:
+        """Average what was added up since the last fold into mean and variance of the number in use."""
+        self.see(now)
+        span = now - self.folded_at
+        if span <= 0:
+            return
+        keep = exp(-span / MEMORY_US)
+        mean = self.area / span
+        square = self.area2 / span
+        before = self.variance + self.mean * self.mean
+        self.mean = keep * self.mean + (1 - keep) * mean
+        self.variance = max(0.0, keep * before + (1 - keep) * square - self.mean * self.mean)
         self.peak = max(float(self.busy), self.peak * keep)
+        self.area = self.area2 = 0.0
+        self.folded_at = now
 
     def want(self) -> int:
         """Connections that the demand calls for."""
@@ -152,6 +171,7 @@
         self.servers: dict[str, _Server] = {}
         self.connections: dict[int, _Connection] = {}
         self.idle: OrderedDict[int, _Connection] = OrderedDict()  # of all servers, the longest idle first
+        self.touched: list[_Server] = []  # those that a tick has to look at
         self.ages: list[tuple[int, int]] = []  # heap of (when one is to be retired, connection)
         self.evidence = Evidence(bucket(settings.idle_us) + 1, 0)  # of idle times, of all servers
         self.serial = 0
@@ -192,10 +212,14 @@
         if s is None:
             return Told(Answer.CANNOT)
         s.see(now)
+        if not s.touched:
+            s.touched = True
+            self.touched.append(s)
         close: list[int] = []
+        limit = s.idle_time.limit_us
         while s.idle:
             c = s.idle[-1]
-            if c.retire_at <= now or self._stale(s, c, now):
+            if c.retire_at <= now or now - c.idle_at >= limit:
                 close.append(self._drop(c))
                 continue
             if proof and now - c.proven_at > self.settings.proof_us:
@@ -203,8 +227,9 @@
             s.idle.pop()
             del self.idle[c.number]
             c.state = "busy"
+            c.idle_us = now - c.idle_at
             s.busy += 1
-            return Told(Answer.USE, c.number, tuple(close))
+            return Told(Answer.USE, c.number, tuple(close) if close else ())
         if s.making >= self._making_most(s) or self._at_limit(s, now):
             if s.making and s.waiting < self.settings.waiting:
                 s.waiting += 1
@@ -224,9 +249,6 @@
         if s is not None and s.waiting:
             s.waiting -= 1
 
-    def _stale(self, s: _Server, c: _Connection, now: int) -> bool:
-        return now - c.idle_at >= s.idle_time.retire_after_us()
-
     def _making_most(self, s: _Server) -> int:
         """New connections cost a server work: a cold one gets fewer at once."""
         return max(1, int(self.settings.making * s.warm))
@@ -263,7 +285,7 @@
         if c is None or c.state != "making":
             return False
         c.server.making -= 1
-        c.made_at = c.proven_at = now
+        c.proven_at = now
         jitter = 1 - self.settings.age_jitter * self.rng.random()
         c.retire_at = now + int(self.settings.age_us * jitter)
         if c.server.gone:
@@ -277,6 +299,7 @@
             c.server.see(now)
             c.server.busy += 1
             c.state = "busy"
+            c.idle_us = -1
         else:
             self._keep(c, now)
         return True
@@ -301,39 +324,36 @@
         s.see(now)
         s.busy -= 1
         s.answered_at = c.proven_at = now
+        if c.idle_us >= 0:
+            s.idle_time.answered(c.idle_us)
         if not keep or s.gone or c.retire_at <= now:
             del self.connections[number]
             return False
         self._keep(c, now)
         return True
 
-    def reused(self, number: int, idle_us: int, now: int) -> None:
-        """The first byte of an answer came on a connection that had been idle so long."""
-        c = self.connections.get(number)
-        if c is not None:
-            c.server.idle_time.answered(idle_us, now)
-
-    def ended(self, number: int, now: int, *, idle_us: int = -1) -> None:
-        """A connection is no more.  ``idle_us``: it was the server's doing, after so long idle (a close while it
-        stood idle, or a break as it was used again before anything had come)."""
+    def ended(self, number: int, now: int, *, by_server: bool = False) -> None:
+        """A connection is no more.  ``by_server``: it was closed while it stood idle, or broke as it was used
+        again before a byte had come."""
         c = self.connections.pop(number, None)
         if c is None:
             return
         s = c.server
+        idle_us = c.idle_us
         if c.state == "idle":
             s.idle.remove(c)
             del self.idle[number]
-            if idle_us >= 0:
-                burst, s.ended_at = now - s.ended_at < BURST_US, now
-                if burst:
-                    return
+            idle_us = now - c.idle_at
+            burst, s.ended_at = now - s.ended_at < BURST_US, now
+            by_server = by_server and not burst
         elif c.state == "busy":
             s.see(now)
             s.busy -= 1
         else:
             s.making -= 1
-        if idle_us >= 0:
-            s.idle_time.ended(idle_us, now)
+            idle_us = -1
+        if by_server and idle_us >= 0:
+            s.idle_time.ended(idle_us)
 
     def _keep(self, c: _Connection, now: int) -> None:
         c.state = "idle"
@@ -361,16 +381,32 @@
             c = self.connections.get(heappop(self.ages)[1])
             if c is not None and c.state == "idle":
                 close.append(self._drop(c))  # one in use goes when its answer has come
-        for s in self.servers.values():
-            s.see(now)
+        self.evidence.fade(now)
+        # Of all connections the longest idle come first: past the first that no server would have closed, none is
+        # due.  What is retired in a server's own time is met on the way, or by ``take``.
+        least = min((s.idle_time.limit_us for s in self.touched), default=int(MARGIN * self.settings.idle_us))
+        for c in list(self._idle_for(least, now)):
+            if now - c.idle_at >= c.server.idle_time.limit_us:
+                close.append(self._drop(c))
+        touched, self.touched = self.touched, []
+        for s in touched:
+            s.fold(now)
             s.idle_time.refresh(now)
-            while s.idle and self._stale(s, s.idle[0], now):
-                close.append(self._drop(s.idle[0]))
-            if self._wants_spare(s, now):
+            if not s.gone and self._wants_spare(s, now):
                 s.opened_ahead_at = now
                 ahead.append((s.id, self._make(s, now)))
+            short = bool(s.idle) and s.idle_time.limit_us < int(MARGIN * self.settings.idle_us)
+            s.touched = not s.gone and (s.busy > 0 or s.peak > 0.1 or short)
+            if s.touched:
+                self.touched.append(s)
         return close, ahead
 
+    def _idle_for(self, at_least: int, now: int) -> Iterator[_Connection]:
+        for c in self.idle.values():
+            if now - c.idle_at < at_least:
+                return
+            yield c
+
     def _wants_spare(self, s: _Server, now: int) -> bool:
         if s.peak < 0.5 or s.making or now - s.opened_ahead_at < self.settings.pace_us / s.warm:
             return False
--- a/headspar/node/backends.py
+++ b/headspar/node/backends.py
@@ -59,8 +59,7 @@
     """A connection to a backend, from its first attempt to its end."""
 
     __slots__ = (
-        "pool", "host", "number", "transport", "poller", "attempt", "unsent", "idle_at", "idle_us", "heard_at",
-        "closed", "parser",
+        "pool", "host", "number", "transport", "poller", "attempt", "unsent", "quiet", "heard_at", "closed", "parser",
         "status", "rejected", "framed", "length", "report", "content_type", "body", "size", "head_size",
         "in_body", "complete", "keep", "surplus", "streaming", "paused",
     )
@@ -71,8 +70,8 @@
         self.transport: asyncio.Transport | None = None
         self.unsent = True
         self.closed = False
-        self.idle_at = self.heard_at = 0
-        self.idle_us = -1  # how long it stood idle before the request that is out; -1: its first, or answered
+        self.heard_at = 0
+        self.quiet = True  # no byte has come since it was used last
         self.paused = False
         self.parser: Any = httptools.HttpResponseParser(self)
         self._reset()
@@ -101,7 +100,7 @@
         transport, r = self.transport, attempt.request
         assert transport is not None
         self.attempt, attempt.conn = attempt, self
-        self.idle_us = now - self.idle_at if self.idle_at else -1
+        self.quiet = True
         self.heard_at = now
         self.unsent = True
         head = b"".join((
@@ -133,7 +132,7 @@
     def close(self) -> None:
         if not self.closed:
             self.closed = True
-            self.pool.lost(self, -1)
+            self.pool.lost(self, False)
             if self.transport is not None:
                 self.transport.abort()
 
@@ -141,8 +140,7 @@
         attempt = self.attempt
         if not self.closed:
             self.closed = True
-            # Whether it was the server's doing, after so long idle: while it stood so, or as it was used again.
-            self.pool.lost(self, now_us() - self.idle_at if attempt is None and self.idle_at else self.idle_us)
+            self.pool.lost(self, attempt is None or self.quiet)
         if attempt is None:
             self.parser = None
             return
@@ -165,9 +163,7 @@
             return
         now = now_us()
         self.heard_at = self.host.heard_at = now
-        if self.idle_us >= 0:
-            self.pool.plan.reused(self.number, self.idle_us, now)
-            self.idle_us = -1
+        self.quiet = False
         if not self.in_body:
             self.head_size += len(data)
         try:
@@ -341,8 +337,7 @@
                 if conn.usable():
                     conn.send(attempt, now)
                     return
-                idle_us = now - conn.idle_at
-                self.plan.ended(told.connection, now, idle_us=idle_us)
+                self.lost(conn, True)
                 conn.close()
                 continue
             break
@@ -381,7 +376,6 @@
             # To a host that is gone by now it still goes, as one that was under way; it is not kept.
             conn.send(attempt, now_us())
         elif wanted:
-            conn.idle_at = now_us()
             conn.unsent = False
             conn._reset()
         else:
@@ -397,14 +391,12 @@
 
     def keep(self, conn: Connection) -> None:
         """Its answer was whole and in order."""
-        now = now_us()
-        conn.idle_at = now
-        if not self.plan.answered(conn.number, now, keep=True):
+        if not self.plan.answered(conn.number, now_us(), keep=True):
             conn.close()
 
-    def lost(self, conn: Connection, idle_us: int) -> None:
+    def lost(self, conn: Connection, by_server: bool) -> None:
         self.connections.pop(conn.number, None)
-        self.plan.ended(conn.number, now_us(), idle_us=idle_us)
+        self.plan.ended(conn.number, now_us(), by_server=by_server)
 
     def doubt(self, attempt: Attempt) -> None:
         host = self.hosts.get(attempt.backend)
--- a/tests/connections/test_plan.py
+++ b/tests/connections/test_plan.py
@@ -80,22 +80,22 @@
     p = plan()
     held = idle(p, "a", 5, 0)
     for i, number in enumerate(held[:3]):
-        p.ended(number, S + i * 300 * MS, idle_us=S)  # it closed three, each after a second
+        p.ended(number, S + i * 300 * MS, by_server=True)  # it closed three, each after a second
     assert sorted(p.tick(S + 600 * MS)[0]) == held[3:]
     one, = idle(p, "a", 1, 2 * S)
     assert p.take("a", 2 * S + 700 * MS, proof=False).connection == one
-    assert p.servers["a"].idle_time.retire_after_us() == 800 * MS
-    assert p.servers["b"].idle_time.retire_after_us() == int(MARGIN * 10 * S)  # three elsewhere are too few
+    assert p.servers["a"].idle_time.limit_us == 800 * MS
+    assert p.servers["b"].idle_time.limit_us == int(MARGIN * 10 * S)  # three elsewhere are too few
     p.tick(40 * S)
-    assert p.servers["a"].idle_time.retire_after_us() == int(MARGIN * 10 * S)  # tried again
+    assert p.servers["a"].idle_time.limit_us == int(MARGIN * 10 * S)  # tried again
 
 
 def test_a_server_that_dies_tells_nothing_of_idle_times() -> None:
     p = plan()
     for number in idle(p, "a", 20, 0):
-        p.ended(number, S, idle_us=S)
+        p.ended(number, S, by_server=True)
     p.tick(S)
-    assert {s.idle_time.retire_after_us() for s in p.servers.values()} == {int(MARGIN * 10 * S)}
+    assert {s.idle_time.limit_us for s in p.servers.values()} == {int(MARGIN * 10 * S)}
 
 
 def idle_time() -> IdleTime:
@@ -105,29 +105,29 @@
 def test_breaks_among_many_answers_are_not_of_idleness() -> None:
     t = idle_time()
     for i in range(100):
-        t.answered(150 * MS, 0)
+        t.answered(150 * MS)
         if i % 10 == 0:
-            t.ended(150 * MS, 0)
-    assert t.retire_after_us() == int(MARGIN * 10 * S)
+            t.ended(150 * MS)
+    assert t.limit_us == int(MARGIN * 10 * S)
     for _ in range(40):
-        t.ended(150 * MS, 0)
-    assert t.retire_after_us() == 100 * MS
+        t.ended(150 * MS)
+    assert t.limit_us == 100 * MS
 
 
 def test_what_breaks_in_steady_use_turns_nothing_over() -> None:
     t = idle_time()
     for _ in range(50):
-        t.ended(20 * MS, 0)
-    assert t.retire_after_us() == int(MARGIN * 10 * S)
+        t.ended(20 * MS)
+    assert t.limit_us == int(MARGIN * 10 * S)
 
 
 def test_a_server_is_judged_by_the_others_too_once_there_are_many() -> None:
     pool = Evidence(bucket(10 * S) + 1, 0)
     one, other = IdleTime(10 * S, pool, 0), IdleTime(10 * S, pool, 0)
     for _ in range(8):
-        one.ended(300 * MS, 0)
+        one.ended(300 * MS)
     other.refresh(0)
-    assert other.retire_after_us() == one.retire_after_us() == 200 * MS
+    assert other.limit_us == one.limit_us == 200 * MS
 
 
 @pytest.mark.parametrize("idle_us", [0, 24_999, 25_000, 49_999, 50_000, 10 * S, 10_000 * S])
@@ -135,7 +135,7 @@
     k = bucket(idle_us)
     assert (k == 0 or FIRST_US << (k - 1) <= idle_us) and idle_us < FIRST_US << k
     t = idle_time()
-    t.ended(idle_us, 0)  # beyond what was told, it counts in the last
+    t.ended(idle_us)  # beyond what was told, it counts in the last
 
 
 def test_a_servers_limit_is_learned_from_a_failed_connect_and_forgotten_again() -> None:
@@ -315,7 +315,7 @@
         number = pick.choice(sorted(self.busy))
         server = self.busy.pop(number)
         if breaks:
-            self.plan.ended(number, self.now, idle_us=S if keep else -1)
+            self.plan.ended(number, self.now, by_server=keep)
         elif self.plan.answered(number, self.now, keep=keep):
             self.idle[number] = (server, self.now)
 
@@ -323,8 +323,8 @@
     def server_closes(self, pick: random.Random) -> None:
         if self.idle:
             number = pick.choice(sorted(self.idle))
-            _, since = self.idle.pop(number)
-            self.plan.ended(number, self.now, idle_us=self.now - since)
+            del self.idle[number]
+            self.plan.ended(number, self.now, by_server=True)
 
     @rule(i=st.integers(0, 3), share=st.floats(0.0, 1.0))
     def warmth(self, i: int, share: float) -> None:
@@ -391,7 +391,7 @@
         elif dice < 0.95 and out:
             number = out.pop(rng.randrange(len(out)))
             if rng.random() < 0.05:
-                p.ended(number, now, idle_us=rng.randrange(S))
+                p.ended(number, now, by_server=True)
             else:
                 p.answered(number, now, keep=rng.random() < 0.95)
         elif dice < 0.99:
