Average servers' demand every 4 s instead of at each tick

Cause: at 1,000 servers the tick's averaging of all that had been used cost more than the requests' own part.

Change: a server is averaged after 4 s at the earliest, at each tick only where spares are opened ahead; one that has not been used since leaves the tick's list at once.

--- a/headspar/connections/plan.py
+++ b/headspar/connections/plan.py
@@ -40,6 +40,7 @@
 
 FORGET_US = 5_000_000  # after which a learned limit is tried one higher
 MEMORY_US = 5_000_000  # of the demand
+FOLD_US = 4_000_000  # between two averagings of one server
 DEVIATIONS = 3.0
 LOOK = 16  # idle connections that are looked at for the least useful one
 BURST_US = 200_000  # idle connections of one server that end within it ended with their server, not of idleness
@@ -390,13 +391,16 @@
                 close.append(self._drop(c))
         touched, self.touched = self.touched, []
         for s in touched:
-            s.fold(now)
-            s.idle_time.refresh(now)
-            if not s.gone and self._wants_spare(s, now):
+            if self.settings.ahead and not s.gone and self._wants_spare(s, now):
                 s.opened_ahead_at = now
                 ahead.append((s.id, self._make(s, now)))
+            if not self.settings.ahead and now - s.folded_at < FOLD_US and not s.gone:
+                self.touched.append(s)
+                continue
+            s.fold(now)
+            s.idle_time.refresh(now)
             short = bool(s.idle) and s.idle_time.limit_us < int(MARGIN * self.settings.idle_us)
-            s.touched = not s.gone and (s.busy > 0 or s.peak > 0.1 or short)
+            s.touched = not s.gone and (s.busy > 0 or short)
             if s.touched:
                 self.touched.append(s)
         return close, ahead
