Test that callers ask again when the scenario says; classes of the flaws written once

Need: retries at once, after a back-off and after Retry-After had no test; the flaws' four classes repeated the same eight lines.

Change: a relay that turns everything away with Retry-After, and three kinds of callers before it; the classes come from one loop.

--- a/tests/lab/relay.py
+++ b/tests/lab/relay.py
@@ -112,6 +112,8 @@
 
     async def answer(self, m: Message) -> tuple[int, bytes] | None:
         """Status and body; None closes the connection."""
+        if FLAW == "busy":  # no flaw: it turns everything away, and says when to come back
+            return 503, b""
         spec = self.classes[m.headers["x-call-class"]]
         effect, group = spec["effect"], spec["group"]
         end = time.monotonic() + int(m.headers["x-budget"].rstrip("u")) / 1e6 - 0.03
@@ -169,7 +171,8 @@
                         os._exit(3)
                 if got is None:
                     break
-                whole = b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%b" % (got[0], len(got[1]), got[1])
+                later = b"Retry-After: 0.400\r\n" if FLAW == "busy" else b""
+                whole = b"HTTP/1.1 %d X\r\n%bContent-Length: %d\r\n\r\n%b" % (got[0], later, len(got[1]), got[1])
                 writer.write(whole * (2 if FLAW == "two answers" and RNG.random() < 0.1 else 1))
                 await writer.drain()
         writer.close()
--- a/tests/lab/test_flaws.py
+++ b/tests/lab/test_flaws.py
@@ -32,40 +32,14 @@
 drain_grace_s = 0.5
 fall_s = 1.0
 lateness_ms = 100
-[[classes]]
-name = "look"
-share = 1
-work_ms = [24, 44]
-wait_ms = [10, 20]
-aim_ms = 400
-deadline_ms = 800
-[[classes]]
-name = "pay"
-share = 1
-work_ms = [24, 44]
-wait_ms = [10, 20]
-aim_ms = 400
-deadline_ms = 800
-effect = "dedup"
-window_ms = 250
-[[classes]]
-name = "batch"
-share = 1
-work_ms = [24, 44]
-wait_ms = [10, 20]
-aim_ms = 400
-deadline_ms = 800
-effect = "dedup"
-group = "zone"
-window_ms = 250
-[[classes]]
-name = "crew"
-share = 1
-work_ms = [24, 44]
-wait_ms = [10, 20]
-aim_ms = 400
-deadline_ms = 800
-effect = "fragile"
+'''
+CLASSES = {"look": "", "pay": 'effect = "dedup"\nwindow_ms = 250', "crew": 'effect = "fragile"',
+           "batch": 'effect = "dedup"\ngroup = "zone"\nwindow_ms = 250'}
+SCENARIO += "".join(
+    f'[[classes]]\nname = "{name}"\nshare = 1\nwork_ms = [24, 44]\nwait_ms = [10, 20]\naim_ms = 400\n'
+    f'deadline_ms = 800\n{more}\n' for name, more in CLASSES.items()
+)
+SCENARIO += '''
 [[faults]]
 at_s = 0.3
 kind = "reset"
@@ -114,3 +88,24 @@
     assert first.node == "n1" and 0 <= first.at < 9_000_000 and first.text
     assert first.call >= 0 or first.rule in ("cold", "crash")
     assert not v.clean
+
+
+@pytest.mark.parametrize(("callers", "least_ms", "most_ms"), [
+    ('retries = 2\nbackoff = "none"\nhonour = 0.0', 0, 0),
+    ('retries = 2\nbackoff = "fixed"\nbackoff_ms = [20, 100]\nhonour = 0.0', 50, 100),
+    ('retries = 2\nbackoff = "none"\nhonour = 1.0', 400, 480),
+])
+def test_callers_ask_again_as_the_scenario_says(
+    callers: str, least_ms: int, most_ms: int, tmp_path: Path
+) -> None:
+    text = SCENARIO.partition("[[faults]]")[0].replace("retries = 0", callers).replace("4.5", "1.5")
+    result = run_scenario(parse(text), 3, tmp_path, command=[sys.executable, "-m", "tests.lab.relay", "busy"])
+    asks = {(a.call, a.attempt): a for a in result.recording.asks}
+    firsts = [a for a in asks.values() if a.attempt == 0]
+    assert len(firsts) > 40 and len(asks) == 3 * len(firsts)
+    for (call, attempt), a in asks.items():
+        assert a.status == 503 and a.retry_after_us == 400_000
+        if attempt:
+            pause = a.planned_at - asks[call, attempt - 1].ended_at
+            assert 1000 * least_ms - 5_000 <= pause <= 1000 * most_ms + 5_000
+    assert not any(result.verdict.counts.values()) and result.service.amplification == 3.0
