Give the benchmarks one rig: the lab's settings, one way to take turns; one clock

Need: the rig made a node's settings a third time, two benchmarks repeated the same turns beside the relay, and the lab had the node's clock once more.

Change: `rig` builds its settings from a scenario by the lab's function, `beside_relay` takes the turns, the lab's clock is `node.core.now_us`. A watch that the rig answers after its node's end is no error any more.

--- a/benchmarks/connections.py
+++ b/benchmarks/connections.py
@@ -54,21 +54,9 @@
     rig = Rig(dir, servers)
     await rig.start()
     try:
-        await rig.add("relay", [sys.executable, "-m", "benchmarks.bare_relay"])
-        await rig.add("node")
-        for name in ("relay", "node"):
-            await rig.segment(name, rps, 3.0)
-        costs: dict[str, list[float]] = {"relay": [], "node": []}
-        made = served = 0
-        for turn in range(turns):
-            for name in ("relay", "node") if turn % 2 else ("node", "relay"):
-                before, had = await rig.accepted(), rig.streams[name].served
-                costs[name].append(await rig.segment(name, rps, seconds))
-                if name == "node":
-                    made += await rig.accepted() - before
-                    served += rig.streams[name].served - had
+        costs = await rig.beside_relay(rps, turns, seconds)
         return {"node": statistics.median(costs["node"]), "relay": statistics.median(costs["relay"]),
-                "handshakes": 1000 * made / max(1, served)}
+                "handshakes": 1000 * rig.made["node"] / max(1, rig.served["node"])}
     finally:
         await rig.close()
 
--- a/benchmarks/node_cpu.py
+++ b/benchmarks/node_cpu.py
@@ -21,16 +21,7 @@
     rig = Rig(dir, servers)
     await rig.start()
     try:
-        await rig.add("relay", [sys.executable, "-m", "benchmarks.bare_relay"])
-        await rig.add("node")
-        for name in ("relay", "node"):
-            await rig.segment(name, rps, 1.0)
-        costs: dict[str, list[float]] = {"relay": [], "node": []}
-        for turn in range(turns):
-            print(f"\rturn {turn + 1} of {turns}", end="", file=sys.stderr)
-            for name in ("relay", "node") if turn % 2 else ("node", "relay"):
-                costs[name].append(await rig.segment(name, rps, seconds))
-        print(file=sys.stderr)
+        costs = await rig.beside_relay(rps, turns, seconds)
         node, relay = statistics.median(costs["node"]), statistics.median(costs["relay"])
         ratios = [n / r for n, r in zip(costs["node"], costs["relay"], strict=True)]
         stream = rig.streams["node"]
--- a/benchmarks/rig.py
+++ b/benchmarks/rig.py
@@ -14,29 +14,52 @@
 from typing import Any, cast
 
 from headspar.lab.children import Child, Hosts, Parent, now_us, run_child
-from headspar.lab.nodes import NodeProcess, free_address
+from headspar.lab.nodes import NodeProcess, free_address, settings
+from headspar.lab.plan import draw
+from headspar.lab.scenario import parse
 
 ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 31\r\n\r\n{"call":1,"try":0,"ok":"found"}\n'[:-1]
 Address = tuple[str, int]
 
 
-def settings(**limits: Any) -> dict[str, Any]:
-    """A node's settings: two classes, one node."""
-    def one(name: str, effect: str, worth: float) -> dict[str, Any]:
-        return {"name": name, "aim_us": 400_000, "give_up_us": 2_000_000, "effect": effect, "group": "all",
-                "window_us": 1_200_000, "worth": worth, "late_worth": 0.3, "stream": False}
-
-    return {
-        "az": "a", "balancers": 1, "me": 0, "counted_by": "work", "quantum_us": 5000, "registry_mode": "push",
-        "classes": [one("look", "retryable", 1.0), one("pay", "dedup", 10.0)],
-        "customers": [{"name": "agent", "share": 1.0, "quota_rps": 1e9}],
-        "invariants": {"answer_slack_us": 20000, "ask_every_us": 10_000_000, "cold_share": 0.2,
-                       "drain_grace_us": 1_000_000, "fall_multiple": 3.0, "fall_us": 1_500_000,
-                       "ramp_time_us": 20_000_000},
-        "policy_limits": {"try_limit": 6, "cancel": True, "second_copies": True, "may_tell": False,
-                          "connect_timeout_us": 200_000, "idle_close_us": 15_000_000, "retry_after": True,
-                          "max_retry_after_us": 2_000_000, **limits},
-    }
+SCENARIO = '''
+name = "rig"
+length_s = 1
+[nodes]
+count = 1
+peers = false
+[load]
+rps = 1
+quota_of_capacity = 1e6
+[discovery]
+mode = "pushed"
+[[agents]]
+name = "agent"
+share = 1
+[[classes]]
+name = "look"
+share = 1
+work_ms = [30, 30]
+wait_ms = [0, 0]
+aim_ms = 400
+deadline_ms = 2000
+[[classes]]
+name = "pay"
+share = 1
+work_ms = [30, 30]
+wait_ms = [0, 0]
+aim_ms = 400
+deadline_ms = 2000
+worth = 10
+effect = "dedup"
+window_ms = 1200
+'''
+
+
+def node_settings() -> dict[str, Any]:
+    """A node's settings: two classes, one node, one agent that is never over its share."""
+    s = parse(SCENARIO)
+    return settings(s, draw(s, 1), 0)
 
 
 class Instant(asyncio.Protocol):
@@ -102,7 +125,8 @@
 
     def _answer(self) -> None:
         body = b'{"generation":1,"reset":false,"instances":[]}'
-        self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+        if not self.transport.is_closing():
+            self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
 
 
 class Caller(asyncio.Protocol):
@@ -195,6 +219,8 @@
         self.targets: dict[str, NodeProcess] = {}
         self.streams: dict[str, Stream] = {}
         self.addresses: list[str] = []
+        self.made: dict[str, int] = {}  # connections to servers in the turns, by target
+        self.served: dict[str, int] = {}
 
     async def start(self) -> None:
         loop = asyncio.get_running_loop()
@@ -205,7 +231,7 @@
     async def add(self, name: str, command: list[str] | None = None, *, sockets: int = 1024) -> None:
         """Start a node, or what stands in its place, and warm it up."""
         config = {"name": name, "seed": "5eed", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
-                  "settings": settings()}
+                  "settings": node_settings()}
         node = NodeProcess(name, config, free_address(self.hosts.next()), self.dir)
         if command is not None:
             node.command = command
@@ -225,6 +251,23 @@
         served = await self.streams[name].run(rps, seconds)
         return (cpu_us(process.pid) - before) / max(1, served)
 
+    async def beside_relay(self, rps: float, turns: int, seconds: float) -> dict[str, list[float]]:
+        """A bare relay and a node, started and warmed up, then in turns: CPU a request of each, by turn."""
+        await self.add("relay", [sys.executable, "-m", "benchmarks.bare_relay"])
+        await self.add("node")
+        costs: dict[str, list[float]] = {"relay": [], "node": []}
+        for name in costs:
+            await self.segment(name, rps, 2.0)
+        for turn in range(turns):
+            print(f"\rturn {turn + 1} of {turns}", end="", file=sys.stderr)
+            for name in ("relay", "node") if turn % 2 else ("node", "relay"):
+                before, had = await self.accepted(), self.streams[name].served
+                costs[name].append(await self.segment(name, rps, seconds))
+                self.made[name] = self.made.get(name, 0) + await self.accepted() - before
+                self.served[name] = self.served.get(name, 0) + self.streams[name].served - had
+        print(file=sys.stderr)
+        return costs
+
     async def accepted(self) -> int:
         """Connections that the servers have accepted so far."""
         self.child.tell({"cmd": "count"})
--- a/headspar/lab/children.py
+++ b/headspar/lab/children.py
@@ -15,20 +15,17 @@
 import signal
 import subprocess
 import sys
-import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
 
+from headspar.node.core import now_us
+
+__all__ = ["Child", "Hosts", "Parent", "now_us", "run_child"]  # the nodes' clock is the lab's too
 PR_SET_PDEATHSIG = 1
 LINE_LIMIT = 16 * 1024 * 1024
 
 
-def now_us() -> int:
-    """The one clock of a run: monotonic, shared by all processes of the machine."""
-    return time.monotonic_ns() // 1000
-
-
 def die_with_parent() -> None:
     """For a process that does not watch its input (Linux; elsewhere the parent's own cleaning must do)."""
     with contextlib.suppress(OSError, AttributeError):
