Count requests of unknown ids as violations, and keys forgotten early as a doubt

Cause: the fleet counted both and nobody read them: a node that makes up a request would have passed the audit.

Change: both travel with the records; an unknown id breaks the rule on duplicates, a server's memory of keys that was too small gives no verdict.

Measured: tests for the audit and for the server on sockets; without the lines in the audit the first fails.

--- a/headspar/lab/audit.py
+++ b/headspar/lab/audit.py
@@ -359,6 +359,8 @@
                                 call=s.call, attempt=s.attempt, server=s.server, node=s.node)
             self._drains()
             self._cold()
+        for _ in range(self.r.strangers):
+            self.broken("duplicated", "of an unknown id", self.start, "servers got it, and no caller had made it")
         self._crashes()
         out.repeats_dropped = sum(s.fate is Fate.REPEAT for s in self.r.sent)
         for kind, count in self.doubtful.items():
--- a/headspar/lab/records.py
+++ b/headspar/lab/records.py
@@ -168,6 +168,7 @@
     starts: list[Start] = []
     marks: list[Mark] = []
     lateness: list[Lateness] = []
+    strangers: int = 0  # requests that came to servers under an id that no caller had made
     missing: list[str] = []  # parts whose records did not come: no verdict
 
 
--- a/headspar/lab/run.py
+++ b/headspar/lab/run.py
@@ -350,6 +350,9 @@
         if fleet is not None:
             recording.sent, recording.starts = fleet.sent, fleet.starts
             recording.marks += fleet.marks
+            recording.strangers = fleet.strangers
+            if fleet.forgotten_early:
+                self.missing.append(f"{fleet.forgotten_early} keys that servers forgot before their time")
             recording.lateness += fleet.lateness
         recording.told = self.discovery.told
         recording.marks += self.marks
--- a/tests/lab/test_audit.py
+++ b/tests/lab/test_audit.py
@@ -227,6 +227,12 @@
     caught(r, "duplicated", "never asked")
 
 
+def test_what_comes_under_an_id_that_nobody_made_is_caught() -> None:
+    r = recording()
+    r.strangers = 1
+    caught(r, "duplicated", "of an unknown id")
+
+
 def test_two_out_at_once_are_caught_where_copies_are_forbidden() -> None:
     r = recording()
     again(r, LOOK, 30)
--- a/tests/lab/test_cash_server.py
+++ b/tests/lab/test_cash_server.py
@@ -128,6 +128,17 @@
     on_servers(talk)
 
 
+def test_an_id_that_no_caller_made_is_counted_and_answered_400() -> None:
+    async def talk(world: World, servers: list[CashServer]) -> None:
+        reader, writer = await asyncio.open_connection(*servers[0].addresses["n1"])
+        writer.write(b"GET /api/evil HTTP/1.1\r\nX-Call-Id: 0123456789abcdef\r\n\r\n")
+        assert b" 400 " in await reader.readuntil(b"\r\n\r\n")
+        assert world.strangers == 1 and not world.ledger
+        writer.close()
+
+    on_servers(talk)
+
+
 def test_a_draining_server_turns_away_what_is_new() -> None:
     async def talk(world: World, servers: list[CashServer]) -> None:
         servers[0].drain()
