Keep connections to an even part of a fleet that is larger than the descriptors

Cause: with more servers than descriptors every request closed one connection and opened another.

Change: connections/subset.py picks each node's reach: windows on one order of each zone's servers, even over all nodes, moved by one server a second at most, turning where all nodes together reach too few. node/reach.py stands between discovery and the module, which hears what is out of reach (`reachable`, ListKind.REACH) and picks among the rest; budgets of cold backends and peers' weight count the nodes that send to one backend.

--- a/headspar/__main__.py
+++ b/headspar/__main__.py
@@ -13,11 +13,13 @@
 import uvloop
 
 from headspar.config import Address, Config, ConfigError, load_config
+from headspar.connections.subset import Subset, SubsetSettings
 from headspar.node.backends import Backends, Budget
 from headspar.node.clients import Client, Server
 from headspar.node.core import Node, now_us
 from headspar.node.discovery import Discovery
 from headspar.node.peers import Peers
+from headspar.node.reach import Reach
 
 OWN_FILES = 24  # standard streams, loop, listener, discovery, peers, one to spare for each
 REFUSALS = 40  # connections beyond the clients' part, accepted only to be refused
@@ -48,7 +50,9 @@
     files = config.sockets - OWN_FILES - REFUSALS
     clients = max(4, int(CLIENTS_SHARE * files))
     budget = Budget(int(BODIES_SHARE * max(16, config.memory_mb - OWN_MB)) * 1024 * 1024)
-    node.backends = Backends(node, max(4, files - clients), budget)
+    most = max(4, files - clients)
+    node.backends = Backends(node, most, budget)
+    node.reach = Reach(Subset(SubsetSettings(most, config.settings.me, config.settings.balancers)))
     node.discovery = Discovery(node, node.backends, config.discovery)
     server = Server(node, clients, REFUSALS, budget)
     if config.peer_listen and config.peers_all and config.settings.may_tell_peers:
@@ -65,7 +69,9 @@
 
     def sweep() -> None:
         server.sweep()
-        node.backends.sweep(now_us())
+        now = now_us()
+        node.backends.sweep(now)
+        node.move_reach(now)
         loop.call_later(SWEEP_S, sweep)
 
     sweep()
--- a/headspar/adapter.py
+++ b/headspar/adapter.py
@@ -42,7 +42,7 @@
 OUTCOMES = {str(int(o)): o for o in Outcome}
 BOOLS = {"0": False, "1": True}
 HEALTHS = {h.value: h for h in Health}
-LIST_KINDS = {k.value: k for k in ListKind}
+LIST_KINDS = {k.value: k for k in ListKind if k is not ListKind.REACH}
 
 
 class WireError(ValueError):
--- a/headspar/decide.py
+++ b/headspar/decide.py
@@ -130,7 +130,7 @@
 
     def place(self, entry: BackendEntry) -> None:
         self.zone, self.kind, self.cell = entry.zone, entry.kind, entry.cell
-        self.usable = entry.health is Health.READY
+        self.usable = entry.health is Health.READY and entry.reachable
         self.started_at = entry.started_at_us
 
     def reset(self) -> None:
@@ -247,6 +247,7 @@
         self.served_rate = 0.0  # us of work per second that was served
         self.steady = 0.0
         self.weight = 0.0  # in AC, of peers' work
+        self.senders = float(settings.balancers)  # nodes that send to one backend
         self.sent_rate = 0.0  # us of work per second sent by this node of late
         self.sent = self.sent_work = 0
         self.offered_work = 0
@@ -438,7 +439,7 @@
                 b.peers += work
                 told.append((b, work))
         self.heard[event.peer] = (now, told)
-        self.capacity.weight = PEER_WEIGHT / (self.count + 1)
+        self.capacity.weight = PEER_WEIGHT / self.capacity.senders
 
     def _forget(self, peer: int) -> None:
         for b, work in self.heard.pop(peer, (0, []))[1]:
@@ -471,7 +472,7 @@
         fall = self.settings.fall_us
         elapsed = min(fall, now - b.asked_at) if b.asked_at >= 0 else self.rng.random() * fall
         b.asked_at = now
-        window = self.settings.fall_multiple * warm * per_unit * self.settings.balancers * fall / 1e6
+        window = self.settings.fall_multiple * warm * per_unit * c.senders * fall / 1e6
         if cost > COLD_HEAVY * window or self.rng.random() * cost >= rate * elapsed / 1e6:
             return False
         return True
@@ -649,7 +650,7 @@
                 pause = min(0.8 * self.settings.ask_every_us, 5e5 * 2**self.failures)
                 self.ask_at = now + int(pause * (0.5 + self.rng.random()))
             return fresh
-        if event.kind is not ListKind.CACHED:
+        if event.kind in (ListKind.DELTA, ListKind.FULL):
             self.failures = 0
         listed = set()
         for entry in event.entries:
@@ -670,7 +671,7 @@
         # still out hold on to theirs.
         last = {entry.backend: entry.health for entry in event.entries}
         gone = {id for id, health in last.items() if health is Health.GONE}
-        if event.kind is not ListKind.DELTA:
+        if event.kind in (ListKind.FULL, ListKind.CACHED):
             gone.update(id for id in self.backends if id not in listed)
         for id in gone:
             self.backends.pop(id).usable = False
@@ -936,6 +937,7 @@
         c = self.capacity
         if e.kind is ListKind.FAILED:
             return
+        c.senders = max(1.0, self.settings.balancers * e.reach)
         self.peers.by_hash = {b.tag: b for b in self.membership.backends.values()}
         for b in self.membership.backends.values():
             c.kinds.setdefault(b.kind, [0.0, 0.0])
--- a/headspar/interface.py
+++ b/headspar/interface.py
@@ -56,6 +56,7 @@
     FULL = "Complete"
     CACHED = "Persisted"
     FAILED = "Error"
+    REACH = "Reach"  # not discovery's: what this node may send to has moved
 
 
 @dataclass(slots=True)
@@ -213,15 +214,18 @@
     health: Health
     weight: float = 1.0
     started_at_us: int = 0
+    reachable: bool = True  # whether this node may have connections to it
 
 
 @dataclass(slots=True)
 class BackendList:
-    """What discovery tells about the backends."""
+    """What discovery tells about the backends; ``reach``: the share of those that are ready that this node may
+    send to.  All nodes' parts are alike, so it is also the share of the nodes that sends to one backend."""
 
     kind: ListKind
     version: int
     entries: list[BackendEntry]
+    reach: float = 1.0
 
 
 @dataclass(slots=True)
--- a/headspar/node/backends.py
+++ b/headspar/node/backends.py
@@ -398,6 +398,11 @@
         self.connections.pop(conn.number, None)
         self.plan.ended(conn.number, now_us(), by_server=by_server)
 
+    def let_go(self, ids: list[str]) -> None:
+        """Hosts that are out of reach: nothing more goes to them, and what stands idle is closed."""
+        for id in ids:
+            self._close(self.plan.doubt(id))
+
     def doubt(self, attempt: Attempt) -> None:
         host = self.hosts.get(attempt.backend)
         if host is not None and host.heard_at < attempt.sent_at:
--- a/headspar/node/core.py
+++ b/headspar/node/core.py
@@ -41,6 +41,7 @@
     from headspar.node.clients import Client
     from headspar.node.discovery import Discovery
     from headspar.node.peers import Peers
+    from headspar.node.reach import Reach
 
 GRAIN_US = 2_000
 LOG_LINES = 20  # of the node's own, in each LOG_SPAN_US
@@ -104,6 +105,7 @@
         self.loop = loop
         self.balancer = Balancer(config.settings, config.seed)
         self.backends: Backends
+        self.reach: Reach
         self.discovery: Discovery
         self.peers: Peers | None = None
         self.requests: dict[str, Request] = {}
@@ -359,7 +361,16 @@
     # ------------------------------------------------------------ from the other parts
 
     def told(self, event: BackendList) -> None:
+        event, out_of_reach = self.reach.told(event, now_us())
         self.post(event)
+        self.backends.let_go(out_of_reach)
+
+    def move_reach(self, now: int) -> None:
+        """The host calls it now and then: the reach moves a step if one is due."""
+        event, out_of_reach = self.reach.tick(now)
+        if event is not None:
+            self.post(event)
+            self.backends.let_go(out_of_reach)
 
     def heard(self, peer: int, data: bytes) -> None:
         self.post(PeerMessage(peer, data))
--- /dev/null
+++ b/headspar/node/reach.py
@@ -0,0 +1,62 @@
+"""Which backends the module may pick among, where there are more than this node's descriptors carry.
+
+Owns discovery's list as last told, passes each change on with what is out of reach marked so, and tells the
+module when the reach itself moves.  What is in reach ``connections.Subset`` decides.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from headspar.connections.subset import Change, Member, Subset
+from headspar.interface import BackendEntry, BackendList, Health, ListKind
+
+
+class Reach:
+    """The list between discovery and the module."""
+
+    def __init__(self, subset: Subset) -> None:
+        self.subset = subset
+        self.entries: dict[str, BackendEntry] = {}
+        self.ready: dict[str, Member] = {}
+        self.version = 0
+
+    def told(self, event: BackendList, now: int) -> tuple[BackendList, list[str]]:
+        """What the module is told instead, and the backends that are out of reach from now on."""
+        if event.kind is ListKind.FAILED:
+            return event, []
+        self.version = event.version
+        if event.kind is not ListKind.DELTA:
+            self.entries.clear()
+            self.ready.clear()
+        for entry in event.entries:
+            self.entries.pop(entry.backend, None)
+            self.ready.pop(entry.backend, None)
+            if entry.health is not Health.GONE:
+                self.entries[entry.backend] = entry
+            if entry.health is Health.READY:
+                self.ready[entry.backend] = Member(entry.backend, entry.zone, entry.cell)
+        change = self.subset.update(self.ready.values(), now)
+        held = self.subset.held
+        for entry in event.entries:
+            entry.reachable = entry.health is not Health.READY or entry.backend in held
+        named = {entry.backend for entry in event.entries}
+        moved = self._moved(change, named)
+        return BackendList(event.kind, event.version, event.entries + moved, self.subset.cover()), change.left
+
+    def tick(self, now: int) -> tuple[BackendList | None, list[str]]:
+        """A step of the reach, if one is due."""
+        change = self.subset.tick(now)
+        if not change:
+            return None, []
+        return BackendList(ListKind.REACH, self.version, self._moved(change, set()), self.subset.cover()), change.left
+
+    def _moved(self, change: Change, named: set[str]) -> list[BackendEntry]:
+        out = []
+        for ids, reachable in ((change.entered, True), (change.left, False)):
+            for id in ids:
+                entry = self.entries.get(id)
+                if entry is not None and id not in named:
+                    self.entries[id] = replace(entry, reachable=reachable)
+                    out.append(self.entries[id])
+        return out
--- /dev/null
+++ b/tests/test_reach.py
@@ -0,0 +1,127 @@
+"""More servers than descriptors: what the module is told, and real nodes before such a fleet."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from dataclasses import replace
+from pathlib import Path
+
+from headspar.connections.subset import Subset, SubsetSettings
+from headspar.decide import Balancer
+from headspar.interface import BackendList, Event, Health, ListKind, RequestArrived, Send
+from headspar.lab.scenario import parse
+from headspar.node.reach import Reach
+from tests.helpers import entry, full, settings
+from tests.lab.test_nodes_under_faults import judged
+
+S = 1_000_000
+
+
+def reach(most: int) -> Reach:
+    return Reach(Subset(SubsetSettings(most=most, nodes=3)))
+
+
+def reachable(event: BackendList) -> set[str]:
+    return {e.backend for e in event.entries if e.reachable}
+
+
+def test_a_fleet_that_fits_is_passed_on_as_it_is() -> None:
+    r = reach(100)
+    event, left = r.told(full(20), S)
+    assert len(reachable(event)) == 20 and event.reach == 1.0 and not left
+    assert r.tick(100 * S) == (None, [])
+    failed = BackendList(ListKind.FAILED, 1, [])
+    assert r.told(failed, S) == (failed, [])
+
+
+def test_the_module_hears_what_is_out_of_reach_and_never_picks_it() -> None:
+    r = reach(20)
+    event, _ = r.told(full(60), S)
+    inside = reachable(event)
+    assert len(inside) == 10 and len(event.entries) == 60 and abs(event.reach - 1 / 6) < 0.01
+    b = Balancer(settings(balancers=6), 1)
+    b.handle(S, [event])
+    assert b.capacity.senders == 1.0  # of six nodes one sends to each
+    asked: list[Event] = [RequestArrived(f"r{i}", "look", 3 * S, 1000) for i in range(200)]
+    sends = {a.backend for a in b.handle(S + 1, asked) if isinstance(a, Send)}
+    assert sends == inside
+
+
+def test_what_the_module_has_learned_outlives_a_time_out_of_reach() -> None:
+    r = reach(20)
+    event, _ = r.told(full(60), S)
+    b = Balancer(settings(), 1)
+    b.handle(S, [event])
+    id = next(iter(reachable(event)))
+    b.membership.backends[id].health = 0.5
+    for reached in (False, True):
+        entries = [replace(r.entries[id], reachable=reached)]
+        b.handle(2 * S, [BackendList(ListKind.REACH, 1, entries, event.reach)])
+        assert (b.membership.backends[id] in b.picker.pool) is reached
+    assert b.membership.backends[id].health == 0.5 and len(b.membership.backends) == 60
+
+
+def test_a_list_of_changes_takes_along_what_it_moves() -> None:
+    r = reach(20)
+    event, _ = r.told(full(60), S)
+    inside = reachable(event)
+    gone = sorted(inside)[:4]
+    events = [replace(r.entries[id], health=Health.DRAINING if i % 2 else Health.GONE) for i, id in enumerate(gone)]
+    change, left = r.told(BackendList(ListKind.DELTA, 2, events), 2 * S)
+    entered = reachable(change) - set(gone)
+    assert len(entered) == 4 and not entered & inside and set(left) <= set(gone)
+    assert len(r.subset.held) == 10 and not r.subset.held & set(gone)
+    assert len(r.entries) == 58
+    b = Balancer(settings(), 1)
+    b.handle(S, [event])
+    b.handle(2 * S, [change])
+    assert {x.id for x in b.picker.pool} == r.subset.held
+
+
+def test_steps_of_the_reach_go_to_the_module_and_leave_discoverys_standing_alone() -> None:
+    r = reach(20)
+    b = Balancer(settings(), 1)
+    b.handle(S, [r.told(full(60), S)[0]])
+    r.told(BackendList(ListKind.DELTA, 2, [entry(i) for i in range(60, 90)]), 2 * S)
+    b.handle(2 * S, [BackendList(ListKind.DELTA, 2, list(r.entries.values()))])
+    b.membership.failures = 3
+    steps = 0
+    for at in range(3, 40):
+        event, left = r.tick(at * S)
+        if event is None:
+            continue
+        steps += 1
+        assert event.kind is ListKind.REACH and len(left) <= 1 and len(event.entries) <= 2
+        b.handle(at * S, [event])
+        assert not set(left) & {x.id for x in b.picker.pool}
+        assert b.membership.failures == 3
+    assert 0 < steps < 30
+
+
+LARGE = '''
+name = "large"
+length_s = 12
+[nodes]
+count = 4
+sockets = 128
+peers = false
+[[servers]]
+count = 60
+[load]
+rps = 160
+'''
+
+
+def test_nodes_of_few_descriptors_serve_a_large_fleet_each_from_its_part(tmp_path: Path) -> None:
+    result = judged(parse(LARGE), tmp_path)
+    v = result.verdict
+    assert v.clean, (v.doubts, [x.line() for x in v.violations[:10]])
+    assert v.served > 0.97 * v.taken > 1000
+    used: dict[str, Counter[str]] = defaultdict(Counter)
+    for sent in result.recording.sent:
+        used[sent.node][sent.server] += 1
+    assert len(used) == 4
+    for servers in used.values():
+        # 25 connections to servers: a dozen servers at a time, and one more for each step of the windows' turn
+        assert 10 <= len(servers) <= 12 + 8
+    assert len(set().union(*used.values())) >= 44
