Learn servers' limits, let attempts wait for connections, pace them toward cold servers

Cause: nothing bounded the connections made to one server, an attempt was bound to its own connect, a server's limit of connections was met again by each attempt, and silent drops taught nothing.

Change: the plan sets a limit after three new connections in a row that came to nothing, tries one more after 0.5 to 8 s and follows the server up; attempts queue for the first connection that is free and are told in time to go elsewhere; new connections to a cold server come by its presumed share and this node's part; surplus beyond the demand is closed; when an eighth of the descriptors is left no server gets beyond its part; an attempt that stays silent while the server answers others counts against the idle time. A connection found dead before the request is written could not connect. Payments go only over one proven within 0.9 s (formerly 2). What the plan refuses never left the node and spends no retry. The tick looks at a bounded number of servers; a server's own evidence of idle times is kept from its first break on.

--- a/headspar/__main__.py
+++ b/headspar/__main__.py
@@ -29,6 +29,7 @@
 ACCEPT_S = 0.55  # after SIGTERM new connections go on coming for up to 0.4 s
 END_S = 3.55  # and SIGKILL comes 3.7 s after it at the soonest
 SWEEP_S = 1.0
+TEND_S = 0.2
 
 
 def listen(address: Address) -> socket.socket:
@@ -74,7 +75,12 @@
         node.move_reach(now)
         loop.call_later(SWEEP_S, sweep)
 
+    def tend() -> None:
+        node.backends.tend(now_us())
+        loop.call_later(TEND_S, tend)
+
     sweep()
+    tend()
     gc.collect()
     gc.freeze()
     await stopping.wait()
--- a/headspar/connections/idle_time.py
+++ b/headspar/connections/idle_time.py
@@ -20,6 +20,7 @@
 ENOUGH = 2.0  # breaks that are evidence at all
 MEMORY_US = 30_000_000
 SHARED = 0.3  # weight of what was seen of other servers
+FORGOTTEN = 0.05  # breaks, faded, that are none any more
 MARGIN = 0.8  # of the time that was told
 
 
@@ -47,42 +48,54 @@
 
 
 class IdleTime:
-    """One server's idle time; ``pool`` is what was seen of all servers, ``told_us`` the longest it can be."""
+    """One server's idle time; ``pool`` is what was seen of all servers, ``told_us`` the longest it can be.
+
+    What was seen of the server itself is only kept from its first break on: until then it has nothing to tell
+    that the pool has not, and every request would pay for it.
+    """
 
     __slots__ = ("told_us", "own", "pool", "limit_us")
 
     def __init__(self, told_us: int, pool: Evidence, now: int) -> None:
         self.told_us, self.pool = told_us, pool
-        self.own = Evidence(len(pool.broke), now)
+        self.own: Evidence | None = None
         self.limit_us = self._limit()
 
     def ended(self, idle_us: int) -> None:
         """A connection was closed by the server, or broke as it was used again, after so long idle."""
-        k = min(len(self.own.broke) - 1, bucket(idle_us))
+        k = min(len(self.pool.broke) - 1, bucket(idle_us))
+        if self.own is None:
+            self.own = Evidence(len(self.pool.broke), self.pool.at)
         self.own.broke[k] += 1.0
         self.pool.broke[k] += 1.0
         self.limit_us = self._limit()
 
     def answered(self, idle_us: int) -> None:
         """One was used again after so long idle, and answered.  On every request's path: it only counts."""
+        good = self.pool.good
         k = (idle_us // FIRST_US).bit_length()
-        if k >= len(self.own.good):
-            k = len(self.own.good) - 1
-        self.own.good[k] += 1.0
-        self.pool.good[k] += 1.0
+        if k >= len(good):
+            k = len(good) - 1
+        good[k] += 1.0
+        if self.own is not None:
+            self.own.good[k] += 1.0
 
     def refresh(self, now: int) -> None:
         """Let what was seen fade; the host asks for it now and then."""
-        self.own.fade(now)
         self.pool.fade(now)
+        if self.own is not None:
+            self.own.fade(now)
+            if sum(self.own.broke) < FORGOTTEN:
+                self.own = None
         self.limit_us = self._limit()
 
     def _limit(self) -> int:
         own, pool = self.own, self.pool
         if any(pool.broke):  # every break of a server's is in the pool's too
-            for k in range(1, len(own.broke)):
-                broke = own.broke[k] + SHARED * pool.broke[k]
-                good = own.good[k] + SHARED * pool.good[k]
+            for k in range(1, len(pool.broke)):
+                broke, good = SHARED * pool.broke[k], SHARED * pool.good[k]
+                if own is not None:
+                    broke, good = broke + own.broke[k], good + own.good[k]
                 if broke >= ENOUGH and broke > TOO_MANY * (broke + good):
                     return min(int(MARGIN * self.told_us), FIRST_US << (k - 1))
         return int(MARGIN * self.told_us)
--- a/headspar/decide.py
+++ b/headspar/decide.py
@@ -885,7 +885,8 @@
         if now >= r.deadline - 2 * self.settings.quantum_us or outcome is TIMEOUT:
             self._answer(r)
             return
-        if outcome is not Outcome.CANCELLED:  # repeats of the turned-away too: they made a storm of their own
+        # Repeats of the turned-away too, which made a storm of their own; not of what never left the node.
+        if outcome not in (Outcome.CANCELLED, Outcome.MOOT):
             if self.retries < 1.0:
                 self._answer(r)
                 return
--- a/headspar/node/backends.py
+++ b/headspar/node/backends.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import select
+from collections import deque
 from collections.abc import Iterable
 from typing import Any, cast
 
@@ -21,8 +22,10 @@
 WHOLE = 64 * 1024  # answers up to this size are held whole, so that a broken one can be tried again
 MAX_BODY = 32 * 1024 * 1024
 MAX_HEAD = 64 * 1024
-PROOF_US = 2_000_000  # what carries a key, or may not be repeated, goes only over a connection proven since
-MAKING = 64  # to one server at once; no attempt waits for another's connection
+PROOF_US = 900_000  # what carries a key, or may not be repeated, goes only over a connection proven since
+MAKING = 16  # to one server at once
+AHEAD = 0  # spares beyond the demand
+WAITING = 16  # attempts beyond those that wait for these
 STREAM_STALL_US = 3_000_000
 
 
@@ -45,18 +48,20 @@
 
 
 class Host:
-    """One backend, by discovery's id: where it listens and its connections."""
+    """One backend, by discovery's id: where it listens, and the attempts that wait for a connection to it."""
 
-    __slots__ = ("id", "address", "name", "started_at", "heard_at")
+    __slots__ = ("id", "address", "name", "started_at", "heard_at", "waiters", "making")
 
     def __init__(self, id: str, address: Address, started_at: int) -> None:
         self.id, self.address, self.started_at = id, address, started_at
         self.name = f"{address[0]}:{address[1]}".encode()
         self.heard_at = 0  # when a byte last came from it
+        self.waiters: deque[Attempt] = deque()  # the one that has waited longest first
+        self.making = 0  # connections to it, the attempts' and spares
 
 
 class Connection(asyncio.Protocol):
-    """A connection to a backend, from its first attempt to its end."""
+    """A connection to a backend, from its making to its end."""
 
     __slots__ = (
         "pool", "host", "number", "transport", "poller", "attempt", "unsent", "quiet", "heard_at", "closed", "parser",
@@ -64,9 +69,9 @@
         "in_body", "complete", "keep", "surplus", "streaming", "paused",
     )
 
-    def __init__(self, pool: Backends, host: Host, number: int, attempt: Attempt) -> None:
+    def __init__(self, pool: Backends, host: Host, number: int) -> None:
         self.pool, self.host, self.number = pool, host, number
-        self.attempt: Attempt | None = attempt
+        self.attempt: Attempt | None = None
         self.transport: asyncio.Transport | None = None
         self.unsent = True
         self.closed = False
@@ -121,7 +126,7 @@
         self.attempt = None
         transport = self.transport
         if transport is None:
-            return  # still being made; it is kept for the next attempt
+            return
         if not self.closed:
             if self.complete and not self.unsent and not self.surplus and self.keep:
                 self._reset()
@@ -132,7 +137,7 @@
     def close(self) -> None:
         if not self.closed:
             self.closed = True
-            self.pool.lost(self, False)
+            self.pool.lost(self, False, self.quiet and not self.unsent)
             if self.transport is not None:
                 self.transport.abort()
 
@@ -295,25 +300,40 @@
     def __init__(self, node: Node, most: int, budget: Budget) -> None:
         self.node, self.most, self.budget = node, most, budget
         self.hosts: dict[str, Host] = {}
+        self.young: set[Host] = set()  # those that may be cold
         self.connections: dict[int, Connection] = {}  # by the plan's numbers
         self.tasks: set[asyncio.Task[None]] = set()
         settings = node.settings
         self.connect_timeout = settings.connect_timeout_us / 1e6
         self.repeatable = {c.name for c in settings.classes if c.effect is Effect.RETRYABLE}
-        # Limits that are learned and spares are not switched on yet: without them being measured on the bench.
-        self.plan = Plan(PlanSettings(most, settings.idle_close_us, PROOF_US, making=MAKING, waiting=0, ahead=0,
-                                      learn_limit=False), settings.me)
+        self.plan = Plan(PlanSettings(most, settings.idle_close_us, PROOF_US, making=MAKING, waiting=WAITING,
+                                      ahead=AHEAD, nodes=settings.balancers), settings.me)
 
     def place(self, id: str, address: Address, started_at: int) -> None:
         host = self.hosts.get(id)
         if host is None or host.address != address or started_at > host.started_at:
             self.remove(id)
-            self.hosts[id] = Host(id, address, started_at)
+            host = self.hosts[id] = Host(id, address, started_at)
             self.plan.place(id, now_us())
+            self.plan.warmth(id, self.warm_share(host, now_us()))
+            if started_at:
+                self.young.add(host)
+
+    def warm_share(self, host: Host, now: int) -> float:
+        """The share of its capacity that a host must be presumed to have by its age."""
+        settings = self.node.settings
+        if not host.started_at or now - host.started_at >= settings.ramp_us:
+            return 1.0
+        return settings.cold_share + (1 - settings.cold_share) * max(0, now - host.started_at) / settings.ramp_us
 
     def remove(self, id: str) -> None:
-        if self.hosts.pop(id, None) is not None:
+        host = self.hosts.pop(id, None)
+        if host is not None:
+            waiters = list(host.waiters)
+            host.waiters.clear()
             self._close(self.plan.remove(id))
+            for attempt in waiters:  # for what is gone, or stands at another address by now
+                self.node.end(attempt, Outcome.MOOT)
 
     def _close(self, numbers: Iterable[int]) -> None:
         for number in numbers:
@@ -326,7 +346,9 @@
         if host is None:
             self.node.end(attempt, Outcome.MOOT)
             return
-        now = now_us()
+        self._take(host, attempt, now_us())
+
+    def _take(self, host: Host, attempt: Attempt, now: int) -> None:
         proof = attempt.request.cls not in self.repeatable
         while True:
             told = self.plan.take(host.id, now, proof=proof)
@@ -341,62 +363,91 @@
                 conn.close()
                 continue
             break
-        if told.answer is not Answer.OPEN:
+        if told.answer is Answer.CANNOT:
             self.node.end(attempt, Outcome.MOOT)
             return
-        self.plan.waits_no_more(host.id)
-        conn = Connection(self, host, told.connection, attempt)
-        attempt.conn = conn
-        self.connections[told.connection] = conn
+        host.waiters.append(attempt)
+        if told.answer is Answer.OPEN:
+            self._open(host, told.connection)
+
+    # ------------------------------------------------------------ connections being made
+
+    def _open(self, host: Host, number: int) -> None:
+        conn = Connection(self, host, number)
+        self.connections[number] = conn
+        host.making += 1
         task = self.node.loop.create_task(self._connect(conn))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
     async def _connect(self, conn: Connection) -> None:
+        host = conn.host
         try:
             async with asyncio.timeout(self.connect_timeout):
-                await self.node.loop.create_connection(lambda: conn, *conn.host.address)
-        except OSError:
-            self._connect_failed(conn)
-            return
+                await self.node.loop.create_connection(lambda: conn, *host.address)
         except Exception as error:
-            self.node.error("connect", error)
-            self._connect_failed(conn)
-            return
-        attempt = conn.attempt
+            if not isinstance(error, OSError):
+                self.node.error("connect", error)
+            self._came_to_nothing(conn)
+        host.making -= 1
+        if not conn.closed and not conn.usable():
+            self._came_to_nothing(conn)  # taken in and reset at once: found before a request was written
         if conn.closed:
-            return
-        live = attempt is not None and attempt.request.live
-        wanted = self.plan.opened(conn.number, now_us(), taken=live)
-        if attempt is not None and not live:
-            conn.attempt = None
-            attempt.conn = None
-            self.node.end(attempt, Outcome.MOOT)
-        if attempt is not None and live:
-            # To a host that is gone by now it still goes, as one that was under way; it is not kept.
-            conn.send(attempt, now_us())
-        elif wanted:
-            conn.unsent = False
-            conn._reset()
+            attempt = self._next(host)
+            if attempt is not None:
+                self.node.end(attempt, Outcome.CONNECT_FAILED)
         else:
-            conn.close()
+            conn.unsent = False
+            attempt = self._next(host)
+            wanted = self.plan.opened(conn.number, now_us(), taken=attempt is not None)
+            if attempt is not None:
+                conn.send(attempt, now_us())
+            elif not wanted:
+                conn.close()
+        self._wait_no_longer(host)
 
-    def _connect_failed(self, conn: Connection) -> None:
+    def _came_to_nothing(self, conn: Connection) -> None:
         if not conn.closed:
             conn.closed = True
             self.connections.pop(conn.number, None)
             self.plan.failed(conn.number, now_us())
-        if conn.attempt is not None:
-            self.node.end(conn.attempt, Outcome.CONNECT_FAILED)
+            if conn.transport is not None:
+                conn.transport.abort()
+
+    def _next(self, host: Host) -> Attempt | None:
+        """The attempt that has waited longest for a connection and is still owed one."""
+        while host.waiters:
+            attempt = host.waiters.popleft()
+            self.plan.waits_no_more(host.id)
+            if attempt.ended:
+                continue
+            if attempt.request.live:
+                return attempt
+            self.node.end(attempt, Outcome.MOOT)
+        return None
+
+    def _wait_no_longer(self, host: Host) -> None:
+        """No attempt waits once no connection is being made, nor for longer than one may take and a half again.
+        It never ran, and may go elsewhere."""
+        longest = int(1.5e6 * self.connect_timeout)
+        while host.waiters and (not host.making or now_us() - host.waiters[0].sent_at > longest):
+            attempt = self._next(host)
+            if attempt is not None:
+                self.node.end(attempt, Outcome.MOOT)
 
     def keep(self, conn: Connection) -> None:
         """Its answer was whole and in order."""
-        if not self.plan.answered(conn.number, now_us(), keep=True):
+        now = now_us()
+        if not self.plan.answered(conn.number, now, keep=True):
             conn.close()
+        elif conn.host.waiters and self.hosts.get(conn.host.id) is conn.host:
+            attempt = self._next(conn.host)
+            if attempt is not None:
+                self._take(conn.host, attempt, now)
 
-    def lost(self, conn: Connection, by_server: bool) -> None:
+    def lost(self, conn: Connection, by_server: bool, silent: bool = False) -> None:
         self.connections.pop(conn.number, None)
-        self.plan.ended(conn.number, now_us(), by_server=by_server)
+        self.plan.ended(conn.number, now_us(), by_server=by_server, silent=silent)
 
     def let_go(self, ids: list[str]) -> None:
         """Hosts that are out of reach: nothing more goes to them, and what stands idle is closed."""
@@ -408,8 +459,21 @@
         if host is not None and host.heard_at < attempt.sent_at:
             self._close(self.plan.doubt(host.id))
 
+    def tend(self, now: int) -> None:
+        """Retire and open ahead what the plan says; the host of the loop calls it a few times a second."""
+        for host in list(self.young):
+            share = self.warm_share(host, now)
+            if share >= 1.0 or self.hosts.get(host.id) is not host:
+                self.young.discard(host)
+            if self.hosts.get(host.id) is host:
+                self.plan.warmth(host.id, share)
+        close, ahead = self.plan.tick(now)
+        self._close(close)
+        for id, number in ahead:
+            self._open(self.hosts[id], number)
+
     def sweep(self, now: int) -> None:
-        self._close(self.plan.tick(now)[0])
+        """End streams that stand still."""
         for conn in list(self.connections.values()):
             attempt = conn.attempt
             if attempt is not None and conn.streaming and not conn.paused:
