--- a/benchmarks/rig.py
+++ b/benchmarks/rig.py
@@ -210,6 +210,12 @@
     ) / 1000
 
 
+def earlier(checkout: Path) -> list[str]:
+    """The command that starts the node of another checkout, with this one's interpreter."""
+    return ["env", "-C", str(checkout.resolve()), f"PYTHONPATH={checkout.resolve()}", sys.executable,
+            "-m", "headspar"]
+
+
 class Rig:
     """Instant servers, discovery and any number of processes before them, each named."""
 
@@ -251,19 +257,25 @@
         served = await self.streams[name].run(rps, seconds)
         return (cpu_us(process.pid) - before) / max(1, served)
 
-    async def beside_relay(self, rps: float, turns: int, seconds: float) -> dict[str, list[float]]:
-        """A bare relay and a node, started and warmed up, then in turns: CPU a request of each, by turn."""
+    async def beside_relay(
+        self, rps: float, turns: int, seconds: float, *, sockets: int = 1024, before: Path | None = None
+    ) -> dict[str, list[float]]:
+        """A bare relay and a node, started and warmed up, then in turns: CPU a request of each, by turn.
+        ``before``: a checkout of an earlier state, whose node takes its turns too, as ``before``."""
         await self.add("relay", [sys.executable, "-m", "benchmarks.bare_relay"])
-        await self.add("node")
+        await self.add("node", sockets=sockets)
         costs: dict[str, list[float]] = {"relay": [], "node": []}
+        if before is not None:
+            await self.add("before", earlier(before), sockets=sockets)
+            costs["before"] = []
         for name in costs:
             await self.segment(name, rps, 2.0)
         for turn in range(turns):
             print(f"\rturn {turn + 1} of {turns}", end="", file=sys.stderr)
-            for name in ("relay", "node") if turn % 2 else ("node", "relay"):
-                before, had = await self.accepted(), self.streams[name].served
+            for name in sorted(costs, reverse=bool(turn % 2)):
+                before_, had = await self.accepted(), self.streams[name].served
                 costs[name].append(await self.segment(name, rps, seconds))
-                self.made[name] = self.made.get(name, 0) + await self.accepted() - before
+                self.made[name] = self.made.get(name, 0) + await self.accepted() - before_
                 self.served[name] = self.served.get(name, 0) + self.streams[name].served - had
         print(file=sys.stderr)
         return costs
