Read an operator's file with the settings of connections, typed and checked

Need: what an installation sets for itself had no place; each key of connections was a constant.

Unknown keys are refused.

--- a/headspar/__main__.py
+++ b/headspar/__main__.py
@@ -52,8 +52,12 @@
     clients = max(4, int(CLIENTS_SHARE * files))
     budget = Budget(int(BODIES_SHARE * max(16, config.memory_mb - OWN_MB)) * 1024 * 1024)
     most = max(4, files - clients)
-    node.backends = Backends(node, most, budget)
-    node.reach = Reach(Subset(SubsetSettings(most, config.settings.me, config.settings.balancers)))
+    file = config.operator.connections
+    node.backends = Backends(node, most, budget, file)
+    node.reach = Reach(Subset(SubsetSettings(
+        most, config.settings.me, config.settings.balancers, file.per_server, file.room,
+        max(1, int(1e6 * file.swap_s)), max(1, int(1e6 * file.turn_s)),
+    )))
     node.discovery = Discovery(node, node.backends, config.discovery)
     server = Server(node, clients, REFUSALS, budget)
     if config.peer_listen and config.peers_all and config.settings.may_tell_peers:
--- a/headspar/cli.py
+++ b/headspar/cli.py
@@ -19,6 +19,7 @@
 from rich.live import Live
 from rich.progress import BarColumn, Progress, TextColumn, TimeRemainingColumn
 
+from headspar import operator_file
 from headspar.lab import report
 from headspar.lab.run import Result, RunError, run_scenario
 from headspar.lab.scenario import Scenario, ScenarioError, check, load
@@ -97,6 +98,17 @@
         raise typer.Exit(1)
 
 
+@app.command("check")
+def check_operator(file: Annotated[Path, typer.Argument(help="An operator's file.")]) -> None:
+    """Read an operator's file; print what it sets, or say what is wrong with it."""
+    try:
+        operator = operator_file.load(file)
+    except operator_file.OperatorError as error:
+        raise _stop(str(error), 2) from None
+    for name, value, default in operator_file.rows(operator):
+        print(f"{name} = {value}" + ("" if value == default else f"  (default {default})"))
+
+
 @app.command()
 def node() -> None:
     """Run one node; ROUTER_NAME, ROUTER_LISTEN, ROUTER_DISCOVERY and ROUTER_CONFIG say all it needs."""
--- a/headspar/config.py
+++ b/headspar/config.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from headspar.interface import Settings
+from headspar.operator_file import Operator, OperatorError, load
 from headspar.settings import SettingsError, read_settings
 
 Address = tuple[str, int]
@@ -33,6 +34,7 @@
     peers_all: Address | None
     known: dict[str, Any]
     settings: Settings
+    operator: Operator
 
 
 def parse_address(text: object, field: str) -> Address:
@@ -63,6 +65,17 @@
         raise ConfigError(f"seed: needs hexadecimal digits, not {raw!r}") from None
 
 
+def _operator(environ: Mapping[str, str]) -> Operator:
+    """The operator's file where one is named."""
+    path = environ.get("HEADSPAR_OPERATOR")
+    if not path:
+        return Operator()
+    try:
+        return load(Path(path))
+    except OperatorError as error:
+        raise ConfigError(str(error)) from None
+
+
 def load_config(environ: Mapping[str, str]) -> Config:
     """Read the configuration that the environment names; ``ConfigError`` says what is wrong with it."""
     for name in ("ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY", "ROUTER_CONFIG"):
@@ -105,4 +118,5 @@
         peers_all=parse_address(peers_all, "peers_all") if peers_all else None,
         known=_known(raw["known"]),
         settings=settings,
+        operator=_operator(environ),
     )
--- a/headspar/node/backends.py
+++ b/headspar/node/backends.py
@@ -16,16 +16,13 @@
 
 from headspar.config import Address
 from headspar.connections.plan import Answer, Plan, PlanSettings
-from headspar.interface import Effect, Outcome
+from headspar.interface import Effect, Outcome, Settings
 from headspar.node.core import Attempt, Node, now_us
+from headspar.operator_file import Connections as ConnectionsTable
 
 WHOLE = 64 * 1024  # answers up to this size are held whole, so that a broken one can be tried again
 MAX_BODY = 32 * 1024 * 1024
 MAX_HEAD = 64 * 1024
-PROOF_US = 900_000  # what carries a key, or may not be repeated, goes only over a connection proven since
-MAKING = 16  # to one server at once
-AHEAD = 0  # spares beyond the demand
-WAITING = 16  # attempts beyond those that wait for these
 STREAM_STALL_US = 3_000_000
 
 
@@ -294,10 +291,19 @@
     return report or None
 
 
+def plan_settings(file: ConnectionsTable, settings: Settings, most: int) -> PlanSettings:
+    """The plan's settings from the operator's file and the node's settings."""
+    return PlanSettings(
+        most, settings.idle_close_us, max(1, int(1000 * file.proof_ms)), file.making, file.waiting, file.ahead,
+        max(1, int(1000 * file.pace_ms)), max(1, int(1e6 * file.age_s)), file.age_jitter, file.learn_limit, file.trim,
+        file.handshakes_per_s, settings.balancers,
+    )
+
+
 class Backends:
     """All connections to backends, within one budget of descriptors: the socket side of ``connections.Plan``."""
 
-    def __init__(self, node: Node, most: int, budget: Budget) -> None:
+    def __init__(self, node: Node, most: int, budget: Budget, file: ConnectionsTable) -> None:
         self.node, self.most, self.budget = node, most, budget
         self.hosts: dict[str, Host] = {}
         self.young: set[Host] = set()  # those that may be cold
@@ -306,8 +312,7 @@
         settings = node.settings
         self.connect_timeout = settings.connect_timeout_us / 1e6
         self.repeatable = {c.name for c in settings.classes if c.effect is Effect.RETRYABLE}
-        self.plan = Plan(PlanSettings(most, settings.idle_close_us, PROOF_US, making=MAKING, waiting=WAITING,
-                                      ahead=AHEAD, nodes=settings.balancers), settings.me)
+        self.plan = Plan(plan_settings(file, settings, most), settings.me)
 
     def place(self, id: str, address: Address, started_at: int) -> None:
         host = self.hosts.get(id)
--- /dev/null
+++ b/headspar/operator_file.py
@@ -0,0 +1,122 @@
+"""The operator's file: what an installation sets for itself, in TOML, read only where it is named.
+
+``HEADSPAR_OPERATOR`` names it in a node's environment; ``headspar check FILE`` says what is wrong with it.  Without
+it every default holds.  A table of the file is a dataclass here: its fields are the keys, their types and defaults
+the file's, and its ``__post_init__`` says what cannot be.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+import typing
+from pathlib import Path
+from typing import Any, TypeVar
+
+T = TypeVar("T")
+
+
+class OperatorError(Exception):
+    """The file cannot be used; the text is one line that names the field."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Connections:
+    """``[connections]``: how connections to servers are held; see docs/operators/connections.md."""
+
+    proof_ms: float = 900.0  # keyed requests, and those that may not be repeated, only over one proven since
+    making: int = 16  # of one server, being made at once
+    waiting: int = 16  # attempts beyond those that may wait for them
+    ahead: int = 0  # spares of each server in use, beyond its demand
+    pace_ms: float = 200.0  # between two that are opened ahead of one server
+    age_s: float = 600.0  # the longest that a connection is kept
+    age_jitter: float = 0.3  # the share of it that is drawn for each
+    learn_limit: bool = True  # whether a server's limit is learned from failed connects
+    trim: bool = True  # whether what stands idle beyond the demand is closed
+    handshakes_per_s: float = 500.0  # of all nodes with one warm server; a cold one gets its share
+    per_server: int = 2  # connections that a server in reach should be able to have
+    room: float = 0.875  # of the descriptors, for one connection to every server, before a part is chosen
+    swap_s: float = 1.0  # between two exchanges of a server in reach
+    turn_s: float = 4.0  # between two steps of the windows, where all nodes together reach too few
+
+    def __post_init__(self) -> None:
+        above = ("proof_ms", "making", "pace_ms", "age_s", "handshakes_per_s", "per_server", "swap_s", "turn_s")
+        for name in above:
+            _want(getattr(self, name) > 0, name, f"must be above 0, not {getattr(self, name)!r}")
+        for name in ("waiting", "ahead"):
+            _want(getattr(self, name) >= 0, name, f"must not be negative, not {getattr(self, name)!r}")
+        _want(0 <= self.age_jitter < 1, "age_jitter", f"must lie in 0 .. 1, below 1, not {self.age_jitter!r}")
+        _want(0 < self.room <= 1, "room", f"must lie above 0 and at most 1, not {self.room!r}")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Operator:
+    """The whole file."""
+
+    connections: Connections = dataclasses.field(default_factory=Connections)
+
+
+def _want(good: bool, field: str, text: str) -> None:
+    if not good:
+        raise OperatorError(f"{field}: {text}")
+
+
+def _value(raw: Any, kind: Any, field: str) -> Any:
+    if dataclasses.is_dataclass(kind):
+        _want(isinstance(raw, dict), field, "needs a table")
+        return _table(raw, typing.cast(Any, kind), field)
+    if kind is bool:
+        _want(isinstance(raw, bool), field, f"needs true or false, not {raw!r}")
+        return raw
+    if kind is int:
+        _want(isinstance(raw, int) and not isinstance(raw, bool), field, f"needs a whole number, not {raw!r}")
+        return raw
+    if kind is float:
+        number = isinstance(raw, int | float) and not isinstance(raw, bool) and math.isfinite(raw)
+        _want(number, field, f"needs a number, not {raw!r}")
+        return float(raw)
+    raise TypeError(f"{field}: no reader for {kind!r}")
+
+
+def _table(raw: dict[str, Any], cls: type[T], at: str) -> T:
+    hints = typing.get_type_hints(cls)
+    prefix = f"{at}." if at else ""
+    for key in raw:
+        _want(key in hints, f"{prefix}{key}", "there is no such key")
+    values = {key: _value(value, hints[key], f"{prefix}{key}") for key, value in raw.items()}
+    try:
+        return cls(**values)
+    except OperatorError as error:
+        raise OperatorError(f"{prefix}{error}") from None
+
+
+def parse(text: str) -> Operator:
+    """The file's content, checked; ``OperatorError`` names the field."""
+    import tomllib  # not on the way of a node that reads no such file
+
+    try:
+        raw = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise OperatorError(f"no TOML: {error}") from None
+    return _table(raw, Operator, "")
+
+
+def load(path: Path) -> Operator:
+    """Read the file; ``OperatorError`` is one line that names the file and the field."""
+    try:
+        return parse(path.read_text())
+    except OSError as error:
+        raise OperatorError(f"{path}: {error.strerror}") from None
+    except UnicodeDecodeError:
+        raise OperatorError(f"{path}: no UTF-8 text") from None
+    except OperatorError as error:
+        raise OperatorError(f"{path}: {' '.join(str(error).split())}") from None
+
+
+def rows(operator: Operator) -> list[tuple[str, Any, Any]]:
+    """Every key with its value and its default."""
+    defaults = dataclasses.asdict(Operator())
+    return [
+        (f"{table}.{key}", value, defaults[table][key])
+        for table, values in dataclasses.asdict(operator).items() for key, value in values.items()
+    ]
--- a/tests/connections/test_socket_side.py
+++ b/tests/connections/test_socket_side.py
@@ -13,23 +13,25 @@
 import pytest
 
 from headspar.interface import Outcome
-from headspar.node.backends import MAKING, WAITING, Backends, Budget
+from headspar.node.backends import Backends, Budget
 from headspar.node.core import Attempt, Node, Request, now_us
+from headspar.operator_file import Connections
 from tests.helpers import settings
 from tests.loopback import free_address
 
 S = 1_000_000
+MAKING, WAITING = Connections().making, Connections().waiting
 
 
 class Core:
     """What the socket side needs of the node, writing down how attempts end."""
 
-    def __init__(self, **changes: Any) -> None:
+    def __init__(self, ahead: int = 0, **changes: Any) -> None:
         self.settings = settings(**changes)
         self.loop = asyncio.get_running_loop()
         self.ends: list[tuple[Attempt, Outcome]] = []
         self.errors: list[BaseException] = []
-        self.backends = Backends(cast(Node, self), 100, Budget(1 << 20))
+        self.backends = Backends(cast(Node, self), 100, Budget(1 << 20), Connections(ahead=ahead))
 
     def end(self, attempt: Attempt, outcome: Outcome, *rest: Any) -> None:
         if attempt.ended:
@@ -288,13 +290,11 @@
     run(whole())
 
 
-def test_spares_are_opened_by_the_plan_and_used_without_a_wait(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("headspar.node.backends.AHEAD", 1)
-
+def test_spares_are_opened_by_the_plan_and_used_without_a_wait() -> None:
     async def whole() -> None:
         Server.made = []
         server = await asyncio.get_running_loop().create_server(Server, *free_address())
-        async with core() as c:
+        async with core(ahead=1) as c:
             c.backends.place("s", server.sockets[0].getsockname(), 0)
             c.attempt()
             await until(lambda: Server.made and Server.made[0].requests)
