--- a/tests/connections/test_plan.py
+++ b/tests/connections/test_plan.py
@@ -244,6 +244,19 @@
     assert p.take("c", 13, proof=False).answer is Answer.OPEN  # room again
 
 
+def test_when_descriptors_run_short_a_server_above_its_ceiling_gives_before_one_at_it() -> None:
+    p = plan(most=5, idle_us=1000 * S)
+    for at in range(0, 20 * S, 10 * MS):  # b is used two at a time, steadily
+        pair = [busy(p, "b", at), busy(p, "b", at)]
+        for number in pair:
+            p.answered(number, at + 9 * MS, keep=True)
+        p.tick(at + 9 * MS)
+    assert p.servers["b"].want() == 2
+    a = idle(p, "a", 3, 21 * S)  # idle for a shorter time, and more than a has shown a use for
+    told = p.take("c", 22 * S, proof=False)
+    assert told.answer is Answer.OPEN and told.close == (a[0],)
+
+
 def test_a_server_with_none_may_take_anothers_only_one() -> None:
     p = plan(most=2)
     held = [*idle(p, "a", 1, 0), *idle(p, "b", 1, 5)]
@@ -304,7 +317,7 @@
 
 
 def test_what_stands_idle_beyond_the_ceiling_is_closed_half_at_a_time() -> None:
-    p = plan()
+    p = plan(idle_us=1000 * S)
     idle(p, "a", 20, 0)
     now, left = 0, []
     for _ in range(8):
@@ -351,12 +364,12 @@
 
 def test_silence_of_a_whole_server_or_a_short_one_tells_nothing_of_idle_times() -> None:
     p = plan()
-    for at in range(0, 10 * S, S):
+    for at in range(0, 20 * S, 3 * S):
         one, other = idle(p, "a", 2, at)
         p.use_us = 100 * MS
         assert busy(p, "a", at + 600 * MS) == other
         if at % (2 * S):
-            p.ended(other, at + 900 * MS, silent=True)  # nothing came on others either
+            p.ended(other, at + 1050 * MS, silent=True)  # nothing came on others either
         else:
             assert busy(p, "a", at + 600 * MS) == one
             p.answered(one, at + 700 * MS, keep=True)
--- a/tests/connections/test_socket_side.py
+++ b/tests/connections/test_socket_side.py
@@ -114,7 +114,8 @@
         runner.run(coroutine)
 
 
-def test_a_connection_found_dead_before_the_request_is_written_could_not_connect() -> None:
+@pytest.mark.parametrize("linger", [True, False])
+def test_a_connection_found_dead_before_the_request_is_written_could_not_connect(linger: bool) -> None:
     async def whole() -> None:
         listener = socket.socket()
         listener.bind(free_address())
@@ -124,10 +125,11 @@
             real = c.loop.create_connection
 
             async def slow(*args: Any, **kw: Any) -> Any:
-                """Comes back only once the server's reset is here."""
+                """Comes back only once the server's reset, or its end, is here."""
                 made = await real(*args, **kw)
                 conn, _ = listener.accept()
-                conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                if linger:
+                    conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
                 conn.close()
                 poller = select.poll()
                 poller.register(made[0].get_extra_info("socket").fileno(), select.POLLIN)
@@ -328,3 +330,34 @@
         server.close()
 
     run(whole())
+
+
+def test_an_attempt_that_is_never_answered_on_a_kept_connection_counts_against_its_idle_time() -> None:
+    async def whole() -> None:
+        Server.made = []
+        server = await asyncio.get_running_loop().create_server(Server, *free_address())
+        async with core() as c:
+            c.backends.place("s", server.sockets[0].getsockname(), 0)
+            for _ in range(2):
+                c.attempt("look")
+            await until(lambda: [s.requests for s in Server.made] == [1, 1])
+            for one in Server.made:
+                one.answer()
+            await until(lambda: len(c.ends) == 2)
+            await asyncio.sleep(0.06)  # beyond the first bucket of idle times
+            dead, alive = c.attempt("look"), c.attempt("look")
+            await until(lambda: [s.requests for s in Server.made] == [2, 2])
+            conn = alive.conn
+            assert conn is not None and conn.transport is not None
+            ours = conn.transport.get_extra_info("sockname")
+            next(s for s in Server.made if s.transport.get_extra_info("peername") == ours).answer()
+            await until(lambda: alive.ended)
+            await asyncio.sleep(5 * c.backends.plan.use_us / 1e6)
+            broke = c.backends.plan.evidence.broke
+            assert not any(broke)
+            c.end(dead, Outcome.TIMEOUT)
+            assert sum(broke) == 1 and not broke[0]
+            c.consistent()
+        server.close()
+
+    run(whole())
--- a/tests/connections/test_subset.py
+++ b/tests/connections/test_subset.py
@@ -85,7 +85,7 @@
         subset.update(members[:400] + members[401:], 2 * S)
         settle(subset, 2 * S)
         moved.append(len(before - subset.held))
-    assert max(moved) <= 3 and sum(moved) < 2 * len(subsets)
+    assert max(moved) <= 2 and sum(moved) < len(subsets)
 
 
 def test_a_fifth_of_the_fleet_lost_is_made_up_at_once_and_the_rest_moves_slowly() -> None:
@@ -99,6 +99,7 @@
         for i in range(1, 5):
             change = subset.tick(2 * S + i * subset.settings.swap_us)
             assert len(change.entered) <= 1 and len(change.left) <= 1
+            assert not subset.tick(2 * S + (i + 1) * subset.settings.swap_us - 1)  # no sooner than that
         settle(subset, 10 * S)
         assert subset.held == subset.wanted(0)
 
