Record what a node believes of its servers, and draw it beside what was true in the lab

Change: headspar/recorder writes one line for each Delta-t (K, ACC, sound, carried, T, late; first tries, repeats, refused, failed, served, attempts; health, Nm, outstanding, warmth by server) into a file of bounded size that the operator's file names; off by default. The module's Belief is read by the host after a tick.

--- a/headspar/__main__.py
+++ b/headspar/__main__.py
@@ -9,6 +9,8 @@
 import signal
 import socket
 import sys
+from pathlib import Path
+from typing import TYPE_CHECKING
 
 import uvloop
 
@@ -21,6 +23,9 @@
 from headspar.node.peers import Peers
 from headspar.node.reach import Reach
 
+if TYPE_CHECKING:
+    from headspar.recorder.file import Recorder
+
 OWN_FILES = 24  # standard streams, loop, listener, discovery, peers, one to spare for each
 REFUSALS = 40  # connections beyond the clients' part, accepted only to be refused
 CLIENTS_SHARE = 0.6
@@ -58,6 +63,7 @@
         most, config.settings.me, config.settings.balancers, file.per_server, file.room,
         max(1, int(1e6 * file.swap_s)), max(1, int(1e6 * file.turn_s)),
     )))
+    node.recorder = recorder(config, node)
     node.discovery = Discovery(node, node.backends, config.discovery)
     server = Server(node, clients, REFUSALS, budget)
     if config.peer_listen and config.peers_all and config.settings.may_tell_peers:
@@ -89,6 +95,22 @@
     gc.freeze()
     await stopping.wait()
     await drain(server, listener, loop.time())
+    if node.recorder is not None:
+        node.recorder.close()
+
+
+def recorder(config: Config, node: Node) -> Recorder | None:
+    """The flight recorder, where the operator's file names a file for it."""
+    table = config.operator.recorder
+    if not table.file:
+        return None
+    from headspar.recorder.file import Recorder
+
+    path = Path(table.file.replace("{name}", config.name))
+    try:
+        return Recorder(path, int(table.size_mb * 1e6), config.name, node.log)
+    except OSError as error:
+        raise ConfigError(f"recorder.file: {path}: {error.strerror}") from None
 
 
 def reload(node: Node) -> None:
--- a/headspar/cli.py
+++ b/headspar/cli.py
@@ -20,7 +20,7 @@
 from rich.progress import BarColumn, Progress, TextColumn, TimeRemainingColumn
 
 from headspar import operator_file
-from headspar.lab import report
+from headspar.lab import explain, report
 from headspar.lab.run import Result, RunError, run_scenario
 from headspar.lab.scenario import Scenario, ScenarioError, check, load
 
@@ -37,6 +37,7 @@
 ReportOption = Annotated[Path | None, typer.Option("--report", help="Write a page (HTML) with tables and picture.")]
 PictureOption = Annotated[Path | None, typer.Option("--picture", help="Write the picture (PNG).")]
 KeepOption = Annotated[Path | None, typer.Option("--keep", help="Keep logs and records of the run in this folder.")]
+RecordOption = Annotated[bool, typer.Option("--record", help="Let each node keep a flight record, in --keep.")]
 
 
 def _stop(text: str, status: int) -> typer.Exit:
@@ -70,10 +71,10 @@
             raise _stop(f"{path}: there is no such folder", 2)
 
 
-def _run(s: Scenario, seed: int, keep: Path | None, on_progress: Any) -> Result:
+def _run(s: Scenario, seed: int, keep: Path | None, on_progress: Any, record: bool = False) -> Result:
     try:
         if keep is not None:
-            return run_scenario(s, seed, keep, on_progress)
+            return run_scenario(s, seed, keep, on_progress, record=record)
         with tempfile.TemporaryDirectory(prefix="headspar-lab-") as dir:
             return run_scenario(s, seed, Path(dir), on_progress)
     except RunError as error:
@@ -121,13 +122,16 @@
 def run(
     scenario: ScenarioArgument, nodes: NodesOption = None, seed: SeedOption = 1, json_to: JsonOption = None,
     report_to: ReportOption = None, picture_to: PictureOption = None, keep: KeepOption = None,
+    record: RecordOption = False,
 ) -> None:
     """Run a scenario through real nodes and judge it."""
     s = _scenario(scenario, nodes)
+    if record and keep is None:
+        raise _stop("--record: needs --keep DIR, where the records go", 2)
     _writable(json_to, report_to, picture_to, keep)
     console = Console(stderr=str(json_to) == "-")
     if s.length_s < PROGRESS_FROM_S:
-        result = _run(s, seed, keep, None)
+        result = _run(s, seed, keep, None, record)
     else:
         columns = (TextColumn("{task.description}"), BarColumn(), TextColumn("{task.completed:.0f} s"),
                    TimeRemainingColumn())
@@ -137,7 +141,7 @@
             def show(state: dict[str, Any]) -> None:
                 progress.update(task, completed=min(s.length_s, state["at_s"]))
 
-            result = _run(s, seed, keep, show)
+            result = _run(s, seed, keep, show, record)
     report.text(result, console)
     _end(result, json_to, report_to, picture_to)
 
@@ -150,6 +154,23 @@
           f"{len(s.faults)} faults")
 
 
+@lab.command("explain")
+def explain_record(
+    file: Annotated[Path, typer.Argument(help="A node's flight record (NAME.flight).")],
+    picture_to: PictureOption = None,
+) -> None:
+    """Draw what a node believed of its servers, beside what was true where the lab's records lie by it."""
+    to = picture_to if picture_to is not None else file.with_name(file.name + ".png")
+    _writable(to)
+    try:
+        name, rows, recording = explain.load(file)
+    except explain.ExplainError as error:
+        raise _stop(str(error), 2) from None
+    explain.text(name, rows, Console())
+    to.write_bytes(explain.picture(name, rows, recording))
+    print(f"picture: {to}")
+
+
 @lab.command("list")
 def list_scenarios() -> None:
     """The scenarios that come along."""
--- a/headspar/decide.py
+++ b/headspar/decide.py
@@ -40,8 +40,10 @@
 from headspar.interface import (
     Action,
     AttemptEnded,
+    BackendBelief,
     BackendEntry,
     BackendList,
+    Belief,
     CancelAttempt,
     ClientGone,
     Effect,
@@ -260,6 +262,7 @@
         self.mean_load = 0.0
         self.kinds: dict[str, list[float]] = {}
         self.acc = 1.0
+        self.sound = self.carried = 0.0  # as ``Belief`` has them
         self.capacity_sum = 1.0  # sum of warm_i
         self.ticks = 0
 
@@ -366,6 +369,7 @@
         self._learn_pressure(dt)
         # What is carried now, in the unit of K; the counters' lingering part would answer a second late.
         carried = (self.sent_rate * self.linger_us / 1e6 + out) / sound
+        self.sound, self.carried = sound, carried
         self._learn_k(carried, self.work_rate * self.linger_us / 1e6 / sound, dt)
         self.acc = max(0.0, 1.0 - carried / self.k)
         # A pick's Nm_i is never far from what is carried: in deep overload speeds must go on counting.
@@ -703,6 +707,7 @@
         self.log_at = 0
         self.reasons: dict[str, int] = {}
         self.actions: list[Action] = []
+        self.firsts = self.repeats = self.refused = self.failed = self.served = self.attempts = 0
         self.handlers = {
             RequestArrived: self._arrived,
             AttemptEnded: self._ended,
@@ -788,6 +793,10 @@
             if cost > self.costliest:
                 self.costliest = cost
         self.retries = min(self.retries + RETRY_SHARE, 20.0)
+        if e.is_repeat:
+            self.repeats += 1
+        else:
+            self.firsts += 1
         r = Request(e.id, cls, cost, now, e.deadline_us)
         self.capacity.offered_work += cost
         a = self.admission
@@ -796,6 +805,7 @@
             index += len(self.classes)
         if not a.accept(index, cost):
             self._count("refused")
+            self.refused += 1
             self.actions.append(Refuse(e.id, self._retry_after()))
             return
         if self.settings.warm_keys:
@@ -822,6 +832,7 @@
 
     def _send(self, r: Request, b: Backend, now: int) -> None:
         r.attempts.append(Attempt(b, now))
+        self.attempts += 1
         self.capacity.send(b, r.cost)
         self.actions.append(Send(r.id, b.id))
         if r.cls.repeatable and len(r.attempts) < self.settings.max_attempts:
@@ -878,6 +889,7 @@
         self.capacity.learn(a.backend, r, outcome, e.latency_us, now)
         live = e.id in self.requests
         if not live or e.final:
+            self.served += live and outcome is OK
             self._over(r)
             return
         if any(x.in_flight for x in r.attempts):
@@ -913,10 +925,23 @@
         """The final answer that nothing was served."""
         if may_refuse(r.cls.spec, r.attempts) and not any(a.may_have_run for a in r.attempts):
             self.actions.append(Refuse(r.id, self._retry_after()))
+            self.refused += 1
         else:
             self.actions.append(Fail(r.id))
+            self.failed += 1
         self._over(r)
 
+    def belief(self) -> Belief:
+        """What stands behind the decisions since the last tick; the host asks after one."""
+        c = self.capacity
+        servers = [
+            BackendBelief(b.id, b.health, b.nm, b.out, b.warm, b.usable) for b in self.membership.backends.values()
+        ]
+        return Belief(
+            self.ticked_at, c.k, c.acc, c.sound, c.carried, c.linger_us, c.pressure, self.retries, self.firsts,
+            self.repeats, self.refused, self.failed, self.served, self.attempts, servers,
+        )
+
     def _started(self, e: StreamStarted, now: int) -> None:
         r = self.requests.get(e.id)
         if r is None:
--- a/headspar/interface.py
+++ b/headspar/interface.py
@@ -315,4 +315,42 @@
     text: str
 
 
+# ---------------------------------------------------------------- what is believed, for the flight recorder
+
+
+@dataclass(slots=True)
+class BackendBelief:
+    """One backend: health and warmth as shares, Nm_i and what is outstanding in us of work."""
+
+    id: str
+    health: float
+    nm: float
+    out: int
+    warm: float
+    usable: bool
+
+
+@dataclass(slots=True)
+class Belief:
+    """What the module believes after a Delta-t.  ``sound``: the sum of speed, warmth and squared health over all
+    backends, in average backends; ``carried``: what K is compared with, us of work for each of them.  Counts run on
+    from the start: first tries and repeats that came, refusals, failures, requests served, attempts."""
+
+    at_us: int
+    k: float
+    acc: float
+    sound: float
+    carried: float
+    horizon_us: float
+    late: float
+    retries: float
+    firsts: int
+    repeats: int
+    refused: int
+    failed: int
+    served: int
+    attempts: int
+    servers: list[BackendBelief]
+
+
 Action = Union[Send, Refuse, Fail, CancelAttempt, SetTimer, Watch, TellPeers, Log]
--- /dev/null
+++ b/headspar/lab/explain.py
@@ -0,0 +1,138 @@
+"""A flight record drawn: what a node believed, beside what was true in the lab where the run's records lie by it."""
+
+from __future__ import annotations
+
+import io
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from rich.console import Console
+from rich.table import Table
+
+from headspar.lab.records import Recording, decode
+from headspar.lab.run import TRUTH
+from headspar.lab.truth import Truth, account
+from headspar.recorder.file import read
+from headspar.recorder.line import LineError, Row
+
+MOST_SERVERS = 40  # rows of the picture; of more, those that changed most
+
+
+class ExplainError(Exception):
+    """A record that cannot be explained; the text is one line."""
+
+
+def load(path: Path) -> tuple[str, list[Row], Recording | None]:
+    """A node's record and, if they lie beside it, the records of the run."""
+    try:
+        name, rows = read(path)
+    except OSError as error:
+        raise ExplainError(f"{path}: {error.strerror}") from None
+    except LineError as error:
+        raise ExplainError(str(error)) from None
+    if len(rows) < 2:
+        raise ExplainError(f"{path}: holds {len(rows)} rows, two at least are needed")
+    truth = path.with_name(TRUTH)
+    if not truth.exists():
+        return name, rows, None
+    try:
+        return name, rows, decode(truth.read_bytes())
+    except (OSError, msgspec.MsgspecError) as error:
+        raise ExplainError(f"{truth}: {error}") from None
+
+
+def text(name: str, rows: list[Row], console: Console) -> None:
+    """The record's account."""
+    a = account(rows)
+    table = Table(title=f"{name}, {(rows[-1].at_us - rows[0].at_us) / 1e6:.1f} s", show_header=False)
+    for label, value in (
+        ("first tries", f"{a.firsts}"), ("callers' repeats", f"{a.repeats}"), ("refused", f"{a.refused}"),
+        ("failed", f"{a.failed}"), ("served", f"{a.served}"), ("attempts", f"{a.attempts}"),
+        ("attempts and repeats for each first try", f"{a.amplification:.2f}"),
+        ("lowest ACC", f"{a.lowest_acc:.2f}"),
+        ("ACC at its floor or below", f"{a.at_floor_s:.1f} s"), ("ACC at 0", f"{a.at_zero_s:.1f} s"),
+    ):
+        table.add_row(label, value)
+    console.print(table)
+
+
+def chosen(rows: list[Row]) -> list[str]:
+    """The servers to draw, by name: all, or those whose health moved most."""
+    spread: dict[str, list[float]] = {}
+    for row in rows:
+        for id, s in row.servers.items():
+            span = spread.setdefault(id, [s.health, s.health])
+            span[0], span[1] = min(span[0], s.health), max(span[1], s.health)
+    most = sorted(spread, key=lambda id: (spread[id][0] - spread[id][1], id))[:MOST_SERVERS]
+    return sorted(most)
+
+
+def picture(name: str, rows: list[Row], recording: Recording | None) -> bytes:
+    """A PNG: requests, ACC, capacity believed and true, and each server's share believed and true."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    import matplotlib.pyplot as plt
+
+    began = recording.rules.began_at if recording is not None else rows[0].at_us
+    at = [(r.at_us - began) / 1e6 for r in rows]
+    truth = Truth(recording) if recording is not None else None
+    heights = [2, 1.4, 2, 2.4] + ([2.4] if truth is not None else [])
+    figure, axes = plt.subplots(len(heights), 1, figsize=(11, 2.2 * len(heights) + 2), sharex=True,
+                                height_ratios=heights, layout="constrained")
+    _requests(axes[0], at, rows)
+    axes[1].plot(at, [r.acc for r in rows], color="#2d6a8e", label="ACC")
+    axes[1].plot(at, [min(2.0, r.late) for r in rows], color="#c8553d", linewidth=0.8, label="late (1: at the aim)")
+    axes[1].axhline(0.3, color="#777777", linewidth=0.8, linestyle="--")
+    axes[1].set_ylim(-0.05, 2.05)
+    axes[1].legend(loc="upper right", fontsize=7, ncols=2)
+    axes[2].plot(at, [r.capacity / 1e6 for r in rows], color="#2d6a8e", label="believed: K x sound / T")
+    axes[2].plot(at, [r.carried * r.sound / max(1, r.horizon_us) for r in rows], color="#4c9f70",
+                 linewidth=1, label="carried")
+    top = max(r.carried * r.sound / max(1, r.horizon_us) for r in rows)
+    if truth is not None and recording is not None:
+        nodes = max(1, len({t.node for t in recording.told}))
+        true = [truth.capacity(r.at_us) / nodes / 1e6 for r in rows]
+        axes[2].plot(at, true, color="#333333", linestyle="--", label="true, this node's part")
+        top = max(top, *true)
+    axes[2].set_ylim(0, 1.6 * max(top, 1e-9))
+    axes[2].set_ylabel("seconds of work\na second")
+    axes[2].legend(loc="upper right", fontsize=7, ncols=3)
+    ids = chosen(rows)
+    _shares(axes[3], at, ids, lambda i, id: _believed(rows[i], id), "believed: health² x warm")
+    if truth is not None:
+        known = truth
+        _shares(axes[4], at, ids,
+                lambda i, id: known.share(id, rows[i].at_us) if id in known.changes else 0.0, "true")
+    axes[-1].set_xlabel("seconds")
+    figure.suptitle(f"{name}: what it believed" + (" and what was true" if truth is not None else ""), fontsize=11)
+    data = io.BytesIO()
+    figure.savefig(data, format="png", dpi=110)
+    plt.close(figure)
+    return data.getvalue()
+
+
+def _believed(row: Row, id: str) -> float:
+    s = row.servers.get(id)
+    return s.health * s.health * s.warm if s is not None and s.usable else 0.0
+
+
+def _requests(axes: Any, at: list[float], rows: list[Row]) -> None:
+    spans = [max(1e-3, b - a) for a, b in zip(at, at[1:], strict=False)]
+    spans = [spans[0], *spans]
+    rate = {n: [r.counts[n] / s for r, s in zip(rows, spans, strict=True)] for n in rows[0].counts}
+    axes.stackplot(at, rate["firsts"], rate["repeats"], labels=["first tries", "callers' repeats"],
+                   colors=["#b8d4c4", "#e9b44c"])
+    axes.plot(at, rate["refused"], color="#c8553d", linewidth=1, label="refused")
+    axes.plot(at, rate["attempts"], color="#333333", linewidth=0.8, label="attempts")
+    axes.set_ylabel("a second")
+    axes.legend(loc="upper right", fontsize=7, ncols=4)
+
+
+def _shares(axes: Any, at: list[float], ids: list[str], share: Any, label: str) -> None:
+    grid = [[min(1.0, share(i, id)) for i in range(len(at))] for id in ids]
+    axes.imshow(grid, aspect="auto", cmap="RdYlGn", vmin=0, vmax=1, interpolation="nearest",
+                extent=(at[0], at[-1], len(ids), 0))
+    axes.set_yticks([i + 0.5 for i in range(len(ids))], ids, fontsize=6)
+    axes.set_ylabel(label, fontsize=8)
--- a/headspar/lab/nodes.py
+++ b/headspar/lab/nodes.py
@@ -117,13 +117,23 @@
         self.watcher: asyncio.Task[None] | None = None
         self.marks: list[Mark] = []
         self.command = [sys.executable, "-m", "headspar"]
+        self.operator: Path | None = None  # its operator's file
+
+    def record(self) -> None:
+        """From its next start on it leaves a flight record, ``NAME.flight``."""
+        self.operator = self.dir / f"{self.name}.toml"
+        path = json.dumps(str((self.dir / f"{self.name}.flight").absolute()))
+        self.operator.write_text(f"[recorder]\nfile = {path}\n")
 
     async def start(self, known: dict[str, Any], discovery: Address) -> None:
         self.config["known"] = known
         self.configure(discovery)
         env = {k: v for k, v in package_env().items() if not k.startswith("ROUTER_")}
+        env.pop("HEADSPAR_OPERATOR", None)
         env |= {"ROUTER_NAME": self.name, "ROUTER_LISTEN": f"{self.listen[0]}:{self.listen[1]}",
                 "ROUTER_DISCOVERY": f"{discovery[0]}:{discovery[1]}", "ROUTER_CONFIG": str(self.path)}
+        if self.operator is not None:
+            env["HEADSPAR_OPERATOR"] = str(self.operator)
         with self.log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 *self.command, env=env, stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log,
--- a/headspar/lab/records.py
+++ b/headspar/lab/records.py
@@ -96,6 +96,7 @@
     what: str
     target: str
     text: str = ""
+    value: float = 0.0  # of a fault that has one: the factor of "slow", the share of "turn_away"
 
 
 class Lateness(msgspec.Struct, array_like=True):
--- a/headspar/lab/run.py
+++ b/headspar/lab/run.py
@@ -20,7 +20,7 @@
 from headspar.lab.fleet import FleetRecords
 from headspar.lab.nodes import NodeProcess, Peers, free_address, settings
 from headspar.lab.plan import Plan, Step, draw, node_names
-from headspar.lab.records import CallRule, ClassRule, Mark, Recording, Rulebook, ServerRule, lateness
+from headspar.lab.records import CallRule, ClassRule, Mark, Recording, Rulebook, ServerRule, encode, lateness
 from headspar.lab.scenario import Scenario, to_json
 from headspar.lab.service import Service, measure
 
@@ -28,6 +28,7 @@
 LEAD_US = 400_000  # from the last one's being ready to the first arrival
 TERM_NOTICE_S = 0.3  # the front learns of a planned restart
 TICK_S = 0.05
+TRUTH = "truth.bin"  # what was true, beside the nodes' flight records
 
 
 class RunError(RuntimeError):
@@ -89,9 +90,10 @@
     """The processes of one run."""
 
     def __init__(self, scenario: Scenario, seed: int, dir: Path, on_progress: Progress | None = None,
-                 command: list[str] | None = None) -> None:
-        """``command`` starts a node in place of the real one; tests put broken relays there."""
-        self.s, self.seed, self.dir, self.command = scenario, seed, dir, command
+                 command: list[str] | None = None, record: bool = False) -> None:
+        """``command`` starts a node in place of the real one; tests put broken relays there.  ``record``: each node
+        leaves its flight record, and the lab what was true, in ``dir``."""
+        self.s, self.seed, self.dir, self.command, self.record = scenario, seed, dir, command, record
         self.plan = draw(scenario, seed)
         self.on_progress = on_progress
         self.hosts = Hosts()
@@ -159,6 +161,8 @@
             self.nodes[name] = NodeProcess(name, config, listens[name], self.dir)
             if self.command is not None:
                 self.nodes[name].command = self.command
+            if self.record:
+                self.nodes[name].record()
 
     async def _start_peers(self) -> None:
         nodes = list(self.nodes.values())
@@ -199,8 +203,8 @@
             return entry.starts_at < 0 and self.began_at > 0
         return last[-1].kind == "start" and last[-1].at < now - 1e6
 
-    def _mark(self, what: str, target: str, text: str = "") -> None:
-        self.marks.append(Mark(now_us(), what, target, text))
+    def _mark(self, what: str, target: str, text: str = "", value: float = 0.0) -> None:
+        self.marks.append(Mark(now_us(), what, target, text, value))
         self.state["marks"].append((what, target))
 
     async def _steps(self) -> None:
@@ -228,7 +232,8 @@
             if target in self.nodes:
                 self._task(self._node_step(step.kind, self.nodes[target]))
                 continue
-            self._mark(step.text if step.kind == "mend" else step.kind, target, step.kind)
+            value = step.value if step.kind == "slow" else step.share
+            self._mark(step.text if step.kind == "mend" else step.kind, target, step.kind, value)
             if step.kind in ("start", "drain", "die"):
                 self.discovery.heard(step.kind, target, at)
 
@@ -360,6 +365,8 @@
             recording.marks += node.marks
         recording.lateness.append(lateness("discovery", self.late))
         recording.missing = self.missing
+        if self.record:
+            (self.dir / TRUTH).write_bytes(encode(recording))
         return Result(self.s.name, self.seed, self.plan.digest(), self.plan.rps, audit(recording),
                       measure(recording), recording)
 
@@ -372,14 +379,14 @@
 
 
 def run_scenario(scenario: Scenario, seed: int, dir: Path, on_progress: Progress | None = None,
-                 command: list[str] | None = None) -> Result:
+                 command: list[str] | None = None, record: bool = False) -> Result:
     """Run it on an event loop of its own.  ``RunError`` if it can't be carried out."""
     import uvloop
 
     dir.mkdir(parents=True, exist_ok=True)
 
     async def whole() -> Result:
-        return await Run(scenario, seed, dir, on_progress, command).run()
+        return await Run(scenario, seed, dir, on_progress, command, record).run()
 
     if sys.platform == "win32":  # pragma: no cover
         raise RunError("the lab needs a POSIX system")
--- a/headspar/node/core.py
+++ b/headspar/node/core.py
@@ -42,6 +42,7 @@
     from headspar.node.discovery import Discovery
     from headspar.node.peers import Peers
     from headspar.node.reach import Reach
+    from headspar.recorder.file import Recorder
 
 GRAIN_US = 2_000
 LOG_LINES = 20  # of the node's own, in each LOG_SPAN_US
@@ -116,6 +117,8 @@
         self.timer: asyncio.TimerHandle | None = None
         self.timer_at = 0
         self.draining = False
+        self.recorder: Recorder | None = None
+        self.recorded_at = 0
         self.log_from, self.log_count = 0, 0
         self.actions = {
             Send: self._send,
@@ -170,6 +173,9 @@
                 self.actions[type(action)](action, now)  # type: ignore[operator]
             except Exception as error:
                 self.error(type(action).__name__, error)
+        if self.recorder is not None and self.balancer.ticked_at != self.recorded_at:
+            self.recorded_at = self.balancer.ticked_at
+            self.recorder.write(self.balancer.belief())
 
     # ------------------------------------------------------------ a request's life
 
--- a/headspar/operator_file.py
+++ b/headspar/operator_file.py
@@ -49,11 +49,25 @@
         _want(0 < self.room <= 1, "room", f"must lie above 0 and at most 1, not {self.room!r}")
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecorderTable:
+    """``[recorder]``: the flight recorder; see docs/operators/recovery.md."""
+
+    file: str = ""  # none: nothing is recorded; {name} stands for the node's name
+    size_mb: float = 8.0  # of the record, its older half with it
+
+    def __post_init__(self) -> None:
+        _want(self.size_mb >= 0.01, "size_mb", f"must be at least 0.01, not {self.size_mb!r}")
+        rest = self.file.replace("{name}", "")
+        _want("{" not in rest and "\0" not in rest, "file", f"{self.file!r} holds something other than {{name}}")
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Operator:
     """The whole file."""
 
     connections: Connections = dataclasses.field(default_factory=Connections)
+    recorder: RecorderTable = dataclasses.field(default_factory=RecorderTable)
 
 
 def _want(good: bool, field: str, text: str) -> None:
@@ -65,6 +79,9 @@
     if dataclasses.is_dataclass(kind):
         _want(isinstance(raw, dict), field, "needs a table")
         return _table(raw, typing.cast(Any, kind), field)
+    if kind is str:
+        _want(isinstance(raw, str), field, f"needs a text, not {raw!r}")
+        return raw
     if kind is bool:
         _want(isinstance(raw, bool), field, f"needs true or false, not {raw!r}")
         return raw
--- a/tests/test_operator_file.py
+++ b/tests/test_operator_file.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from headspar.operator_file import Connections, Operator, OperatorError, load, parse
+from headspar.operator_file import Connections, Operator, OperatorError, RecorderTable, load, parse
 from tests.loopback import ROOT, Node
 
 
@@ -17,8 +17,9 @@
     path = ROOT / "deploy" / "operator.toml"
     assert load(path) == Operator()
     text = path.read_text()
-    for field in dataclasses.fields(Connections):
-        assert f"\n{field.name} = " in text
+    for table in (Connections, RecorderTable):
+        for field in dataclasses.fields(table):
+            assert f"\n{field.name} = " in text
 
 
 def test_an_empty_file_is_all_defaults_and_values_are_taken() -> None:
@@ -42,6 +43,9 @@
     ("[connections]\nage_jitter = 1", "connections.age_jitter: "),
     ("[connections]\nroom = 0", "connections.room: "),
     ("[connections\n", "no TOML: "),
+    ("[recorder]\nfile = 3", "recorder.file: "),
+    ("[recorder]\nfile = '/tmp/{node}'", "recorder.file: "),
+    ("[recorder]\nsize_mb = 0", "recorder.size_mb: "),
 ])
 def test_faults_are_named(text: str, field: str, tmp_path: Path) -> None:
     with pytest.raises(OperatorError, match=field.replace(".", r"\.")) as caught:
