Take work that never ran out of what is carried; weigh evidence on K by its server's standing

Cause, seen with the recorder: while seven of nine servers turn requests away, K was held against attempts that no server had taken, and the ill servers' refusals lowered what the two well ones were believed to carry.

Change: an attempt that never ran leaves what was sent; refusals and time-outs count for K as much as their server counts in the sound capacity, health squared.

--- a/headspar/decide.py
+++ b/headspar/decide.py
@@ -307,8 +307,11 @@
         if factor is None or (outcome is TIMEOUT and latency < r.expect):
             return
         if outcome is FULL or (outcome is TIMEOUT and b.last_ok > now - latency):
-            self.late_num += 2.0 * r.cost
-            self.late_den += r.cost
+            # Evidence on K as far as the server counts in what K is held against: one that turns all away is ill
+            # and says nothing of what a sound one carries.
+            weight = r.cost * b.health * b.health
+            self.late_num += 2.0 * weight
+            self.late_den += weight
         self.blame(b, factor, now)
 
     def blame(self, b: Backend, factor: float, now: int) -> None:
@@ -885,6 +888,7 @@
         outcome = e.outcome
         if outcome in NEVER_RAN:
             a.may_have_run = False
+            self.capacity.sent_work -= r.cost  # it is carried by nobody
         self.capacity.done(a.backend, r.cost)
         self.capacity.learn(a.backend, r, outcome, e.latency_us, now)
         live = e.id in self.requests
