--- a/headspar/decide.py
+++ b/headspar/decide.py
@@ -241,7 +241,7 @@
     """n(i,j), Nm_i and what they are learned from."""
 
     def __init__(self, settings: Settings) -> None:
-        self.ramp_us, self.cold_share = settings.ramp_us, settings.cold_share
+        self.settings = settings
         self.k = 0.0
         self.linger_us = 1_000_000.0  # T
         self.rate = 0.0
@@ -320,14 +320,6 @@
         if b.health < SUSPECT and now >= b.trial_at:
             b.put_off_trial(now)
 
-    def warmth(self, b: Backend, now: int) -> float:
-        if not b.started_at:
-            return 1.0
-        age = max(0, now - b.started_at)
-        if age >= self.ramp_us:
-            return 1.0
-        return self.cold_share + (1.0 - self.cold_share) * age / self.ramp_us
-
     def tick(self, pool: list[Backend], now: int, dt: int) -> None:
         """Every Delta-t: decay, fit, K, Nm_i, ACC."""
         self.ticks += 1
@@ -360,7 +352,7 @@
             b.seen *= fade
             b.expected *= fade
             stretch = (b.seen + prior * kinds[b.kind]) / (b.expected + prior)
-            b.warm = self.warmth(b, now)
+            b.warm = self.settings.warm_share(b.started_at, now)
             q = min(3.0, max(0.15, 1.0 / stretch)) * b.warm
             quality.append(q)
             load += b.linger + b.out + self.weight * b.peers
@@ -471,7 +463,7 @@
 
     def gate(self, b: Backend, cost: int, now: int) -> bool:
         c = self.capacity
-        warm = c.warmth(b, now)
+        warm = self.settings.warm_share(b.started_at, now)
         if warm >= 1.0:
             return True
         per_unit = c.steady if c.steady > 0.0 else c.work_rate / len(self.pool)
@@ -973,6 +965,6 @@
             c.kinds.setdefault(b.kind, [0.0, 0.0])
         self.picker.set_pool([b for b in self.membership.backends.values() if b.usable])
         for b in fresh:
-            b.warm = c.warmth(b, now)
+            b.warm = self.settings.warm_share(b.started_at, now)
             b.nm_full = b.nm = c.k * b.warm
             b.linger = c.mean_load * b.warm * (0.5 + self.rng.random())
--- a/headspar/interface.py
+++ b/headspar/interface.py
@@ -148,6 +148,14 @@
         if self.fall_multiple <= 0:
             raise ValueError("fall_multiple: must be above 0")
 
+    def warm_share(self, started_at: int, now: int) -> float:
+        """The share of its capacity that a backend must be presumed to have by its age; 1 where its start is not
+        told (0), or is long ago."""
+        age = now - started_at
+        if not started_at or age >= self.ramp_us:
+            return 1.0
+        return self.cold_share + (1.0 - self.cold_share) * max(0, age) / self.ramp_us
+
 
 # ---------------------------------------------------------------- events in
 
--- a/headspar/node/backends.py
+++ b/headspar/node/backends.py
@@ -320,17 +320,10 @@
             self.remove(id)
             host = self.hosts[id] = Host(id, address, started_at)
             self.plan.place(id, now_us())
-            self.plan.warmth(id, self.warm_share(host, now_us()))
+            self.plan.warmth(id, self.node.settings.warm_share(started_at, now_us()))
             if started_at:
                 self.young.add(host)
 
-    def warm_share(self, host: Host, now: int) -> float:
-        """The share of its capacity that a host must be presumed to have by its age."""
-        settings = self.node.settings
-        if not host.started_at or now - host.started_at >= settings.ramp_us:
-            return 1.0
-        return settings.cold_share + (1 - settings.cold_share) * max(0, now - host.started_at) / settings.ramp_us
-
     def remove(self, id: str) -> None:
         host = self.hosts.pop(id, None)
         if host is not None:
@@ -467,7 +460,7 @@
     def tend(self, now: int) -> None:
         """Retire and open ahead what the plan says; the host of the loop calls it a few times a second."""
         for host in list(self.young):
-            share = self.warm_share(host, now)
+            share = self.node.settings.warm_share(host.started_at, now)
             if share >= 1.0 or self.hosts.get(host.id) is not host:
                 self.young.discard(host)
             if self.hosts.get(host.id) is host:
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -270,7 +270,7 @@
         p.gate(b, 20_480, 2)
         for k in range(50):  # long idle, then a rush at all nodes
             sent += 20_480 * p.gate(b, 20_480, 9_000_000 + k * 1000)
-    warm = c.warmth(b, 9_000_000)
+    warm = s.warm_share(b.started_at, 9_000_000)
     assert 0 < sent < s.fall_multiple * warm * 1_000_000 * s.fall_us / 1e6
     assert not p.gate(b, 2_000_000, 20_000_000), "too heavy for a cold backend"
 
