Let the plan's random tests use connections again, and see the ceiling, warmth and counts

Change: a rule that serves several attempts at once, a test of the ceiling, tests of warmth and counts; addresses at which nothing answers, rows of discovery's list and the socket side's servers are set up in one place each.

--- a/tests/connections/test_hard_cases.py
+++ b/tests/connections/test_hard_cases.py
@@ -11,43 +11,12 @@
 
 import pytest
 
-from tests.loopback import Answer, Backend, Client, Discovery, Node, answer, free_address, reset, running, wait_for
+from tests.loopback import Answer, Backend, Client, Discovery, Node, answer, deaf, reset, row, running, wait_for
 
 CALM_S = 8.0  # what takes longer was not told, but hung on to its deadline, 10 s
 WAITERS = 20
 
 
-class Deaf:
-    """An address at which connections never come up: its queue of accepted ones is full."""
-
-    def __init__(self) -> None:
-        self.sock = socket.socket()
-        self.sock.bind(free_address())
-        self.sock.listen(0)
-        self.address: tuple[str, int] = self.sock.getsockname()
-        self.fill = [socket.socket() for _ in range(4)]
-        for sock in self.fill:
-            sock.setblocking(False)
-            sock.connect_ex(self.address)
-
-    def row(self, id: str) -> dict[str, Any]:
-        return {"instanceId": id, "hostPort": f"{self.address[0]}:{self.address[1]}", "zone": "a",
-                "machineType": "m", "cell": 0, "lifecycle": "ready", "weight": 1.0, "startedAtMs": 0}
-
-    def close(self) -> None:
-        for sock in (self.sock, *self.fill):
-            sock.close()
-
-
-@contextlib.contextmanager
-def deaf() -> Iterator[Deaf]:
-    one = Deaf()
-    try:
-        yield one
-    finally:
-        one.close()
-
-
 @contextlib.contextmanager
 def before(rows: list[dict[str, Any]], backends: list[Backend], **limits: Any) -> Iterator[Node]:
     node = Node(backends, Discovery(rows), known=rows, **limits)
@@ -83,7 +52,7 @@
 
 def test_attempts_that_wait_for_a_connection_that_never_comes_up_are_told_in_time_to_go_elsewhere() -> None:
     good = Backend(None, "s-2")
-    with deaf() as hole, before([hole.row("s-1"), good.row()], [good]) as node:
+    with deaf() as hole, before([row("s-1", hole), good.row()], [good]) as node:
         for _ in range(3):  # the unsafe class: what may have run would not be sent anywhere else
             answers = Asked(node, "crew", WAITERS).wait()
             assert all(got.status in (200, 503) for got, _ in answers)
@@ -93,7 +62,7 @@
 
 
 def test_with_no_other_server_each_that_waited_is_refused_and_none_hangs_on() -> None:
-    with deaf() as hole, before([hole.row("s-1")], []) as node:
+    with deaf() as hole, before([row("s-1", hole)], []) as node:
         answers = Asked(node, "crew", WAITERS).wait()
         assert {got.status for got, _ in answers} == {503}
         assert max(took for _, took in answers) < CALM_S
@@ -101,7 +70,7 @@
 
 def test_the_same_id_at_a_new_address_serves_those_who_waited_for_the_old_one() -> None:
     good = Backend(None, "s-1")
-    with deaf() as hole, before([hole.row("s-1")], [good], connect_timeout_us=9_000_000) as node:
+    with deaf() as hole, before([row("s-1", hole)], [good], connect_timeout_us=9_000_000) as node:
         asked = Asked(node, "crew", 5)
         time.sleep(0.3)  # they are on their way to the old address, which would take nine seconds to fail
         wait_for(lambda: node.discovery.calls)
@@ -129,7 +98,7 @@
 
 def test_at_sigterm_what_waits_for_connections_is_still_answered() -> None:
     good = Backend(None, "s-2")
-    with deaf() as hole, before([hole.row("s-1"), good.row()], [good], connect_timeout_us=800_000) as node:
+    with deaf() as hole, before([row("s-1", hole), good.row()], [good], connect_timeout_us=800_000) as node:
         asked = Asked(node, "crew", WAITERS)
         time.sleep(0.2)
         code: list[int] = []
--- a/tests/connections/test_plan.py
+++ b/tests/connections/test_plan.py
@@ -423,7 +423,7 @@
             del self.idle[number]
             self.closed.add(number)
 
-    @rule(us=st.integers(1, 3 * S))
+    @rule(us=st.one_of(st.integers(1, 50 * MS), st.integers(1, 3 * S)))
     def pass_time(self, us: int) -> None:
         self.now += us
 
@@ -445,6 +445,21 @@
         elif told.answer is Answer.WAIT:
             self.plan.waits_no_more(server)
 
+    @rule(i=st.integers(0, 3), proof=st.booleans(), count=st.integers(1, 4))
+    def serve(self, i: int, proof: bool, count: int) -> None:
+        """So many attempts at once, all of them answered: what leaves connections idle."""
+        before = set(self.busy)
+        for _ in range(count):
+            self.take(i, proof)
+        for number in [n for n, server in self.making.items() if server == self.names[i]]:
+            del self.making[number]
+            if self.plan.opened(number, self.now, taken=True):
+                self.busy[number] = self.names[i]
+        for number in sorted(set(self.busy) - before):
+            server = self.busy.pop(number)
+            if self.plan.answered(number, self.now, keep=True):
+                self.idle[number] = (server, self.now)
+
     @rule(pick=st.randoms(use_true_random=False), up=st.booleans(), taken=st.booleans())
     def made(self, pick: random.Random, up: bool, taken: bool) -> None:
         if not self.making:
@@ -513,6 +528,36 @@
 )
 
 
+def test_short_of_descriptors_no_server_goes_beyond_its_ceiling_and_an_even_part() -> None:
+    rng = random.Random(7)
+    p = Plan(PlanSettings(most=40, idle_us=30 * S, making=40), 5)
+    names = [f"s{i}" for i in range(6)]
+    for name in names:
+        p.place(name, 0)
+    now, out, seen = 0, list[int](), 0
+    for _ in range(20_000):
+        now += rng.randrange(2 * MS)
+        if rng.random() < 0.55:
+            server = names[0] if rng.random() < 0.6 else rng.choice(names)
+            before = len(p.connections)
+            told = p.take(server, now, proof=False)
+            if told.answer is Answer.OPEN:
+                s = p.servers[server]
+                if 8 * (40 - before) < 40:
+                    seen += 1
+                    assert s.held <= max(2, s.want(), 40 // 6)
+                p.waits_no_more(server)
+                p.opened(told.connection, now, taken=True)
+            if told.answer in (Answer.USE, Answer.OPEN):
+                out.append(told.connection)
+        elif out:
+            p.answered(out.pop(rng.randrange(len(out))), now, keep=True)
+        if rng.random() < 0.01:
+            p.tick(now)
+        assert len(p.connections) <= 40
+    assert seen > 20
+
+
 def test_nothing_leaks_over_a_hundred_thousand_random_events() -> None:
     rng = random.Random(11)
     p = Plan(PlanSettings(most=60, idle_us=S, ahead=1), 5)
--- a/tests/connections/test_socket_side.py
+++ b/tests/connections/test_socket_side.py
@@ -17,7 +17,7 @@
 from headspar.node.core import Attempt, Node, Request, now_us
 from headspar.operator_file import Connections
 from tests.helpers import settings
-from tests.loopback import free_address
+from tests.loopback import deaf, free_address
 
 S = 1_000_000
 MAKING, WAITING = Connections().making, Connections().waiting
@@ -81,14 +81,15 @@
 
 
 class Server(asyncio.Protocol):
-    """Answers each request when it is told to."""
+    """A server's connection: answers each request when it is told to."""
 
-    made: list[Server]
+    def __init__(self, made: list[Server]) -> None:
+        self.made = made
+        self.requests = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
-        self.requests = 0
-        Server.made.append(self)
+        self.made.append(self)
 
     def data_received(self, data: bytes) -> None:
         self.requests += data.count(b"X-Call-Id")
@@ -97,16 +98,20 @@
         self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 
 
-def deaf() -> tuple[tuple[str, int], list[socket.socket]]:
-    """An address at which connections never come up."""
-    sock = socket.socket()
-    sock.bind(free_address())
-    sock.listen(0)
-    fill = [socket.socket() for _ in range(4)]
-    for one in fill:
-        one.setblocking(False)
-        one.connect_ex(sock.getsockname())
-    return sock.getsockname(), [sock, *fill]
+@contextlib.asynccontextmanager
+async def serving(**changes: Any) -> AsyncIterator[tuple[Core, list[Server]]]:
+    """A socket side before one server, "s", and the connections that it has accepted, in their order."""
+    made: list[Server] = []
+    server = await asyncio.get_running_loop().create_server(lambda: Server(made), *free_address())
+    async with core(**changes) as c:
+        c.backends.place("s", server.sockets[0].getsockname(), 0)
+        yield c, made
+    server.close()
+
+
+async def asked(made: list[Server], *requests: int) -> None:
+    """Wait until the connections accepted have had so many requests each."""
+    await until(lambda: [s.requests for s in made] == list(requests))
 
 
 def run(coroutine: Any) -> None:
@@ -148,63 +153,54 @@
 
 def test_a_kept_connection_found_dead_is_passed_over_and_another_is_made() -> None:
     async def whole() -> None:
-        Server.made = []
-        server = await asyncio.get_running_loop().create_server(Server, *free_address())
-        async with core() as c:
-            c.backends.place("s", server.sockets[0].getsockname(), 0)
+        async with serving() as (c, made):
             c.attempt()
-            await until(lambda: Server.made and Server.made[0].requests)
-            Server.made[0].answer()
+            await asked(made, 1)
+            made[0].answer()
             await until(lambda: c.ends)
             conn = next(iter(c.backends.connections.values()))
             transport = conn.transport
             assert transport is not None
             transport.pause_reading()  # so that the end lies unread when the connection is picked
-            Server.made[0].transport.abort()
+            made[0].transport.abort()
             sock = transport.get_extra_info("socket")
             poller = select.poll()
             poller.register(sock.fileno(), select.POLLIN)
             await until(lambda: poller.poll(0))
             c.attempt()
-            await until(lambda: len(Server.made) == 2 and Server.made[1].requests)
-            Server.made[1].answer()
+            await until(lambda: len(made) == 2 and made[1].requests)
+            made[1].answer()
             await until(lambda: len(c.ends) == 2)
             assert c.outcomes() == [Outcome.OK] * 2
             c.consistent()
-        server.close()
 
     run(whole())
 
 
 def test_of_those_that_wait_in_vain_one_for_each_connection_failed_to_connect_and_the_rest_never_ran() -> None:
     async def whole() -> None:
-        address, socks = deaf()
-        async with core(connect_timeout_us=200_000) as c:
-            c.backends.place("s", address, 0)
-            attempts = [c.attempt() for _ in range(2 * MAKING + WAITING + 10)]
-            at_once = len(c.ends)
-            assert c.outcomes() == [Outcome.MOOT] * at_once and at_once >= 10
-            c.consistent()
-            await until(lambda: all(a.ended for a in attempts))
-            outcomes = c.outcomes()
-            assert outcomes.count(Outcome.CONNECT_FAILED) == MAKING
-            assert outcomes.count(Outcome.MOOT) == len(attempts) - MAKING
-            await until(lambda: not c.backends.connections)
-            c.consistent()
-        for sock in socks:
-            sock.close()
+        with deaf() as address:
+            async with core(connect_timeout_us=200_000) as c:
+                c.backends.place("s", address, 0)
+                attempts = [c.attempt() for _ in range(2 * MAKING + WAITING + 10)]
+                at_once = len(c.ends)
+                assert c.outcomes() == [Outcome.MOOT] * at_once and at_once >= 10
+                c.consistent()
+                await until(lambda: all(a.ended for a in attempts))
+                outcomes = c.outcomes()
+                assert outcomes.count(Outcome.CONNECT_FAILED) == MAKING
+                assert outcomes.count(Outcome.MOOT) == len(attempts) - MAKING
+                await until(lambda: not c.backends.connections)
+                c.consistent()
 
     run(whole())
 
 
 def test_an_attempt_takes_the_connection_that_is_free_first_and_the_one_made_for_it_is_kept() -> None:
     async def whole() -> None:
-        Server.made = []
-        server = await asyncio.get_running_loop().create_server(Server, *free_address())
-        async with core() as c:
-            c.backends.place("s", server.sockets[0].getsockname(), 0)
+        async with serving() as (c, made):
             first = c.attempt()
-            await until(lambda: Server.made and Server.made[0].requests)
+            await asked(made, 1)
             hold = asyncio.Event()
             real = c.loop.create_connection
 
@@ -218,37 +214,32 @@
             await asyncio.sleep(0)
             assert second.conn is None and len(c.backends.hosts["s"].waiters) == 1
             c.consistent()
-            Server.made[0].answer()
-            await until(lambda: first.ended and Server.made[0].requests == 2)
+            made[0].answer()
+            await until(lambda: first.ended and made[0].requests == 2)
             hold.set()
-            await until(lambda: len(Server.made) == 2)
-            Server.made[0].answer()
+            await until(lambda: len(made) == 2)
+            made[0].answer()
             await until(lambda: second.ended)
             await until(lambda: len(c.backends.plan.idle) == 2)
-            assert c.outcomes() == [Outcome.OK] * 2 and Server.made[1].requests == 0
+            assert c.outcomes() == [Outcome.OK] * 2 and made[1].requests == 0
             c.consistent()
-        server.close()
 
     run(whole())
 
 
 def test_an_attempt_that_was_called_off_while_it_waited_leaves_its_place() -> None:
     async def whole() -> None:
-        Server.made = []
-        server = await asyncio.get_running_loop().create_server(Server, *free_address())
-        async with core() as c:
-            c.backends.place("s", server.sockets[0].getsockname(), 0)
+        async with serving() as (c, made):
             gone, stays = c.attempt(), c.attempt()
             c.end(gone, Outcome.CANCELLED)
-            await until(lambda: any(s.requests for s in Server.made))
-            for one in Server.made:
+            await until(lambda: any(s.requests for s in made))
+            for one in made:
                 if one.requests:
                     one.answer()
             await until(lambda: stays.ended)
             assert c.outcomes() == [Outcome.CANCELLED, Outcome.OK]
             await until(lambda: len(c.backends.plan.idle) == 2)
             c.consistent()
-        server.close()
 
     run(whole())
 
@@ -256,50 +247,40 @@
 @pytest.mark.parametrize("again", [True, False])
 def test_attempts_that_wait_for_a_server_that_is_gone_or_moved_may_go_elsewhere_at_once(again: bool) -> None:
     async def whole() -> None:
-        address, socks = deaf()
-        async with core(connect_timeout_us=9 * S) as c:
-            c.backends.place("s", address, 0)
-            attempts = [c.attempt() for _ in range(3)]
-            assert not c.ends
-            if again:
-                c.backends.place("s", address, now_us())  # the same id and address, started anew
-            else:
-                c.backends.remove("s")
-            assert c.outcomes() == [Outcome.MOOT] * 3 and all(a.ended for a in attempts)
-            if again:
-                assert c.backends.plan.servers["s"].waiting == c.backends.plan.servers["s"].making == 0
-        for sock in socks:
-            sock.close()
+        with deaf() as address:
+            async with core(connect_timeout_us=9 * S) as c:
+                c.backends.place("s", address, 0)
+                attempts = [c.attempt() for _ in range(3)]
+                assert not c.ends
+                if again:
+                    c.backends.place("s", address, now_us())  # the same id and address, started anew
+                else:
+                    c.backends.remove("s")
+                assert c.outcomes() == [Outcome.MOOT] * 3 and all(a.ended for a in attempts)
+                if again:
+                    assert c.backends.plan.servers["s"].waiting == c.backends.plan.servers["s"].making == 0
 
     run(whole())
 
 
 def test_a_connection_made_for_a_server_that_was_replaced_meanwhile_is_not_kept() -> None:
     async def whole() -> None:
-        Server.made = []
-        server = await asyncio.get_running_loop().create_server(Server, *free_address())
-        address = server.sockets[0].getsockname()
-        async with core() as c:
-            c.backends.place("s", address, 0)
+        async with serving() as (c, made):
             c.attempt()
-            c.backends.place("s", address, now_us())
+            c.backends.place("s", c.backends.hosts["s"].address, now_us())
             assert c.outcomes() == [Outcome.MOOT]
             await until(lambda: not c.backends.tasks)
             assert not c.backends.connections and not c.backends.plan.connections
             c.consistent()
-        server.close()
 
     run(whole())
 
 
 def test_spares_are_opened_by_the_plan_and_used_without_a_wait() -> None:
     async def whole() -> None:
-        Server.made = []
-        server = await asyncio.get_running_loop().create_server(Server, *free_address())
-        async with core(ahead=1) as c:
-            c.backends.place("s", server.sockets[0].getsockname(), 0)
+        async with serving(ahead=1) as (c, made):
             c.attempt()
-            await until(lambda: Server.made and Server.made[0].requests)
+            await asked(made, 1)
 
             def tended() -> bool:
                 c.backends.tend(now_us())
@@ -308,49 +289,41 @@
             await until(tended)
             second = c.attempt()
             assert second.conn is not None and not c.backends.hosts["s"].waiters
-            await until(lambda: Server.made[1].requests)
+            await until(lambda: made[1].requests)
             c.consistent()
-        server.close()
 
     run(whole())
 
 
 def test_what_is_out_of_reach_keeps_no_idle_connection() -> None:
     async def whole() -> None:
-        Server.made = []
-        server = await asyncio.get_running_loop().create_server(Server, *free_address())
-        async with core() as c:
-            c.backends.place("s", server.sockets[0].getsockname(), 0)
+        async with serving() as (c, made):
             c.attempt()
-            await until(lambda: Server.made and Server.made[0].requests)
-            Server.made[0].answer()
+            await asked(made, 1)
+            made[0].answer()
             await until(lambda: len(c.backends.plan.idle) == 1)
             c.backends.let_go(["s", "nobody"])
             assert not c.backends.connections and not c.backends.plan.connections
-        server.close()
 
     run(whole())
 
 
 def test_an_attempt_that_is_never_answered_on_a_kept_connection_counts_against_its_idle_time() -> None:
     async def whole() -> None:
-        Server.made = []
-        server = await asyncio.get_running_loop().create_server(Server, *free_address())
-        async with core() as c:
-            c.backends.place("s", server.sockets[0].getsockname(), 0)
+        async with serving() as (c, made):
             for _ in range(2):
                 c.attempt("look")
-            await until(lambda: [s.requests for s in Server.made] == [1, 1])
-            for one in Server.made:
+            await asked(made, 1, 1)
+            for one in made:
                 one.answer()
             await until(lambda: len(c.ends) == 2)
             await asyncio.sleep(0.06)  # beyond the first bucket of idle times
             dead, alive = c.attempt("look"), c.attempt("look")
-            await until(lambda: [s.requests for s in Server.made] == [2, 2])
+            await asked(made, 2, 2)
             conn = alive.conn
             assert conn is not None and conn.transport is not None
             ours = conn.transport.get_extra_info("sockname")
-            next(s for s in Server.made if s.transport.get_extra_info("peername") == ours).answer()
+            next(s for s in made if s.transport.get_extra_info("peername") == ours).answer()
             await until(lambda: alive.ended)
             await asyncio.sleep(5 * c.backends.plan.use_us / 1e6)
             broke = c.backends.plan.evidence.broke
@@ -358,6 +331,25 @@
             c.end(dead, Outcome.TIMEOUT)
             assert sum(broke) == 1 and not broke[0]
             c.consistent()
-        server.close()
+
+    run(whole())
+
+
+def test_a_server_is_presumed_cold_by_its_start_and_warms_with_its_age() -> None:
+    async def whole() -> None:
+        async with core(cold_share=0.2, ramp_us=20 * S) as c:
+            now = now_us()
+            for id, started in (("old", 0), ("cold", now), ("half", now - 10 * S), ("warm", now - 30 * S)):
+                c.backends.place(id, ("127.0.0.1", 1), started)
+            servers = c.backends.plan.servers
+
+            def warm() -> list[float]:
+                return [round(servers[id].warm, 1) for id in ("old", "cold", "half", "warm")]
+
+            assert warm() == [1.0, 0.2, 0.6, 1.0]
+            c.backends.tend(now + 10 * S)
+            assert warm() == [1.0, 0.6, 1.0, 1.0]
+            c.backends.tend(now + 21 * S)
+            assert warm() == [1.0] * 4 and not c.backends.young
 
     run(whole())
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -141,6 +141,29 @@
             conn.close()
 
 
+@contextlib.contextmanager
+def deaf() -> Iterator[tuple[str, int]]:
+    """An address at which connections never come up: its queue of accepted ones is full."""
+    sock = socket.socket()
+    sock.bind(free_address())
+    sock.listen(0)
+    fill = [socket.socket() for _ in range(4)]
+    for one in fill:
+        one.setblocking(False)
+        one.connect_ex(sock.getsockname())
+    try:
+        yield sock.getsockname()
+    finally:
+        for one in (sock, *fill):
+            one.close()
+
+
+def row(id: str, address: tuple[str, int], **changes: Any) -> dict[str, Any]:
+    """A line of discovery's list."""
+    return {"instanceId": id, "hostPort": text(address), "zone": "a", "machineType": "m",
+            "cell": 0, "lifecycle": "ready", "weight": 1.0, "startedAtMs": 0, **changes}
+
+
 Script = Callable[[socket.socket, int], bool | None]
 
 
@@ -170,8 +193,7 @@
             self.ended += 1
 
     def row(self, **changes: Any) -> dict[str, Any]:
-        return {"instanceId": self.id, "hostPort": text(self.address), "zone": "a", "machineType": "m",
-                "cell": 0, "lifecycle": "ready", "weight": 1.0, "startedAtMs": 0, **changes}
+        return row(self.id, self.address, **changes)
 
 
 class Discovery(Listener):
--- a/tests/recorder/test_record.py
+++ b/tests/recorder/test_record.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from headspar.interface import BackendBelief, Belief, RequestArrived
+from headspar.decide import Balancer
+from headspar.interface import AttemptEnded, BackendBelief, Belief, ClientGone, Event, Outcome, RequestArrived, Send
 from headspar.recorder.file import Recorder, older, read
 from headspar.recorder.line import COUNTS, LineError, Reader, Writer
 from tests.helpers import full, settings
@@ -107,8 +108,8 @@
     recorder = Recorder(tmp_path / "f", 1000, "n0", said.append)
     recorder.write(belief(1, servers=500))
     assert len(said) == 1 and "one row is more than half" in said[0]
-    recorder.write(belief(2))
-    assert len(said) == 1
+    recorder.write(belief(2, servers=500))
+    assert len(said) == 1 and recorder.file is None
     with pytest.raises(OSError):
         Recorder(tmp_path / "no" / "f", 1000, "n0", said.append)
 
@@ -132,19 +133,27 @@
 
 
 def test_the_module_counts_first_tries_repeats_and_what_became_of_them() -> None:
-    from headspar.decide import Balancer
-    from headspar.interface import AttemptEnded, Event, Outcome, Send
-
     b = Balancer(settings(), 1)
     b.handle(0, [full(4)])
     events: list[Event] = [
-        RequestArrived(f"r{i}", "look", 2_000_000, 1000, is_repeat=i % 3 == 0) for i in range(30)
+        RequestArrived(f"r{i}", "crew", 2_000_000, 1000, is_repeat=i % 3 == 0) for i in range(30)
     ]
     sends = [a for a in b.handle(1000, events) if isinstance(a, Send)]
-    b.handle(50_000, [AttemptEnded(s.id, 0, s.backend, Outcome.OK, 49_000, True) for s in sends])
+    assert len(sends) == 30
+    fates = [Outcome.OK] * 15 + [Outcome.RESET] * 15  # what may have run and may not be repeated fails
+    ends = [
+        AttemptEnded(s.id, 0, s.backend, fate, 49_000, fate is Outcome.OK)
+        for s, fate in zip(sends, fates, strict=True)
+    ]
+    b.handle(50_000, list(ends))
+    left = next(a for a in b.handle(50_500, [RequestArrived("left", "look", 2_000_000, 1000)]) if isinstance(a, Send))
+    b.handle(50_600, [ClientGone("left")])
+    b.handle(50_700, [AttemptEnded("left", 0, left.backend, Outcome.OK, 200, True)])  # nobody was served
+    b.admission.pa = [0.0] * len(b.admission.pa)
+    b.handle(51_000, [RequestArrived(f"x{i}", "look", 2_000_000, 1000) for i in range(7)])
     got = b.belief()
-    assert (got.firsts, got.repeats, got.attempts, got.served) == (20, 10, len(sends), len(sends))
-    assert got.firsts + got.repeats == got.served + got.refused + got.failed
+    assert (got.firsts, got.repeats, got.attempts) == (28, 10, 31)
+    assert (got.served, got.failed, got.refused) == (15, 15, 7)
     assert [s.id for s in got.servers] == list(b.membership.backends) and got.k == b.capacity.k
     assert tuple(COUNTS) == ("firsts", "repeats", "refused", "failed", "served", "attempts")
 
@@ -168,6 +177,7 @@
         assert node.stop() == 0
         name, rows = read(path)
         assert name == "n0" and sum(r.counts["served"] for r in rows) == 20
+        assert all(b.at_us - a.at_us > 100_000 for a, b in zip(rows, rows[1:], strict=False))  # one for each tick
         assert set(rows[-1].servers) == {"s-1"} and rows[-1].servers["s-1"].health > 0.9
         node.env["HEADSPAR_OPERATOR"] = str(file)
         file.write_text("[recorder]\nfile = '/no/such/folder/f'\n")
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from tests.loopback import Script, answer, reset, running, wait_for
+from tests.loopback import Script, answer, deaf, reset, row, running, wait_for
 
 REFUSED, FAILED = (429, 503), (500, 502, 504)
 
@@ -80,25 +80,13 @@
 
 
 def test_a_connection_that_never_comes_up_is_given_up_in_the_settings_time() -> None:
-    deaf = socket.socket()
-    deaf.bind(("127.0.0.1", 0))
-    deaf.listen(0)
-    fill = [socket.socket() for _ in range(4)]
-    for sock in fill:  # a full accept queue: what comes then is never answered
-        sock.setblocking(False)
-        sock.connect_ex(deaf.getsockname())
-    try:
-        with running(None) as node:
-            row = node.backends[0].row(instanceId="s-9", hostPort=f"127.0.0.1:{deaf.getsockname()[1]}")
-            node.discovery.tell([row])
-            client = node.client()
-            wait_for(lambda: len(node.discovery.calls) > 1)
-            began = time.monotonic()
-            assert all(client.ask("crew").status == 200 for _ in range(12))
-            assert time.monotonic() - began < 8
-    finally:
-        for sock in (*fill, deaf):
-            sock.close()
+    with deaf() as address, running(None) as node:
+        node.discovery.tell([row("s-9", address)])
+        client = node.client()
+        wait_for(lambda: len(node.discovery.calls) > 1)
+        began = time.monotonic()
+        assert all(client.ask("crew").status == 200 for _ in range(12))
+        assert time.monotonic() - began < 8
 
 
 def test_a_kept_connection_closed_while_idle_is_not_used_again() -> None:
