--- a/benchmarks/connections.py
+++ b/benchmarks/connections.py
@@ -5,6 +5,9 @@
 and 600 instant servers, beside a bare relay in the same run; ``handshakes_per_1000*``: new connections for 1,000
 requests there (without a number: before 600), and before 1,000 servers with a third as many descriptors.
 
+``reach_*``: without sockets, 40 nodes and 1,000 servers with 333 connections each: the fewest and the most nodes that
+reach a server, and the most servers that one node exchanges when one server goes.
+
 Two runs in the lab.  ``silent-closes``: ``stale_losses`` are payments written to a connection that the server had
 dropped without a word, ``payments_lost`` those not answered with 200, ``effects_wrong`` keys with no effect, or
 two.  ``returns``: 23% of the servers come back cold at once; ``cold_peak_ratio`` is the most work that was sent to
@@ -28,8 +31,9 @@
 
 import uvloop
 
-from benchmarks.rig import Rig, earlier, write_line
+from benchmarks.rig import Rig, earlier, progress, write_line
 from headspar.connections.plan import Answer, Plan, PlanSettings
+from headspar.connections.subset import Member, Subset, SubsetSettings
 from headspar.lab.audit import effects_per_key
 from headspar.lab.run import Result, run_scenario
 from headspar.lab.scenario import parse
@@ -64,6 +68,24 @@
     return (time.perf_counter() - begun) * 1e6 / requests
 
 
+def evenness(nodes: int = 40, servers: int = 1000, descriptors: int = 333) -> dict[str, int]:
+    """By how many nodes each server is reached, and how much a node's reach changes with one server less."""
+    members = [Member(f"i-{i}", f"z{i % 3}", i // 12) for i in range(servers)]
+    tier = [Subset(SubsetSettings(descriptors, i, nodes)) for i in range(nodes)]
+    count = Counter({m.id: 0 for m in members})
+    exchanged = 0
+    for subset in tier:
+        subset.update(members, 1)
+        count.update(subset.held)
+        before, now = set(subset.held), 1
+        subset.update(members[1:], now)
+        while subset.entering or subset.leaving:
+            now += subset.settings.swap_us
+            subset.tick(now)
+        exchanged = max(exchanged, len(before - subset.held))
+    return {"reach_least": min(count.values()), "reach_most": max(count.values()), "reach_exchanged": exchanged}
+
+
 async def fleet(
     dir: Path, servers: int, sockets: int, rps: float, turns: int, seconds: float, before: Path | None
 ) -> dict[str, float]:
@@ -85,12 +107,9 @@
     """A scenario of the lab with real nodes; a run that the lab can't vouch for is made again, twice at most."""
     s = parse((SCENARIOS / f"{name}.toml").read_text())
 
-    def show(state: dict[str, object]) -> None:
-        print(f"\r{name} {state['at_s']:5.1f} of {s.length_s:.0f} s", end="", file=sys.stderr)
-
     for _ in range(3):
         with tempfile.TemporaryDirectory() as dir:
-            result = run_scenario(s, 1, Path(dir), show, command)
+            result = run_scenario(s, 1, Path(dir), progress(name, s.length_s), command)
         print(file=sys.stderr)
         if result.verdict.valid:
             break
@@ -134,6 +153,7 @@
         figures[f"plan_us_per_request_{count}"] = round(statistics.median(rows), 2)
     growths = [b / a for a, b in zip(*runs.values(), strict=True)]
     figures["plan_growth"] = round(statistics.median(growths), 3)
+    figures.update(evenness())
     for servers, sockets in FLEETS:
         print(f"{servers} servers, {sockets} descriptors", file=sys.stderr)
         with tempfile.TemporaryDirectory() as dir:
--- a/benchmarks/lab.py
+++ b/benchmarks/lab.py
@@ -7,11 +7,11 @@
 from __future__ import annotations
 
 import argparse
-import json
 import sys
 import tempfile
 from pathlib import Path
 
+from benchmarks.rig import progress, write_line
 from headspar.lab.run import run_scenario
 from headspar.lab.scenario import parse
 
@@ -41,11 +41,8 @@
     args = parser.parse_args()
     s = parse(SCENARIO.format(seconds=args.seconds, rps=args.rps))
 
-    def show(state: dict[str, object]) -> None:
-        print(f"\r{state['at_s']:5.1f} of {s.length_s:.0f} s", end="", file=sys.stderr)
-
     with tempfile.TemporaryDirectory() as dir:
-        result = run_scenario(s, args.seed, Path(dir), show)
+        result = run_scenario(s, args.seed, Path(dir), progress(s.name, s.length_s))
     print(file=sys.stderr)
     v, r = result.verdict, result.recording
     firsts = [a for a in r.asks if a.attempt == 0]
@@ -60,10 +57,7 @@
         "lost": v.counts["lost"], "duplicated": v.counts["duplicated"], "drain_violations": v.counts["drain"],
         "cold_violations": v.counts["cold"], "valid": v.valid,
     }
-    if not args.json:
-        for name, value in figures.items():
-            print(f"{name:<24}{value}")
-    print(json.dumps(figures))
+    write_line(figures, args.json)
     return 0 if v.valid else 3
 
 
--- a/benchmarks/rig.py
+++ b/benchmarks/rig.py
@@ -10,6 +10,7 @@
 import json
 import random
 import sys
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any, cast
 
@@ -273,9 +274,9 @@
         for turn in range(turns):
             print(f"\rturn {turn + 1} of {turns}", end="", file=sys.stderr)
             for name in sorted(costs, reverse=bool(turn % 2)):
-                before_, had = await self.accepted(), self.streams[name].served
+                begun, had = await self.accepted(), self.streams[name].served
                 costs[name].append(await self.segment(name, rps, seconds))
-                self.made[name] = self.made.get(name, 0) + await self.accepted() - before_
+                self.made[name] = self.made.get(name, 0) + await self.accepted() - begun
                 self.served[name] = self.served.get(name, 0) + self.streams[name].served - had
         print(file=sys.stderr)
         return costs
@@ -293,6 +294,14 @@
         self.discovery.close()
 
 
+def progress(name: str, length_s: float) -> Callable[[dict[str, Any]], None]:
+    """What a run in the lab calls: a line that says how far it is."""
+    def show(state: dict[str, Any]) -> None:
+        print(f"\r{name} {state['at_s']:5.1f} of {length_s:.0f} s", end="", file=sys.stderr)
+
+    return show
+
+
 def write_line(figures: dict[str, Any], as_json: bool) -> None:
     """The figures for people, then as the last line of the output."""
     if not as_json:
--- a/headspar/lab/explain.py
+++ b/headspar/lab/explain.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import io
 from pathlib import Path
 from typing import Any
 
@@ -11,6 +10,7 @@
 from rich.table import Table
 
 from headspar.lab.records import Recording, decode
+from headspar.lab.report import png
 from headspar.lab.run import TRUTH
 from headspar.lab.truth import Truth, account
 from headspar.recorder.file import read
@@ -107,10 +107,7 @@
                 lambda i, id: known.share(id, rows[i].at_us) if id in known.changes else 0.0, "true")
     axes[-1].set_xlabel("seconds")
     figure.suptitle(f"{name}: what it believed" + (" and what was true" if truth is not None else ""), fontsize=11)
-    data = io.BytesIO()
-    figure.savefig(data, format="png", dpi=110)
-    plt.close(figure)
-    return data.getvalue()
+    return png(figure)
 
 
 def _believed(row: Row, id: str) -> float:
--- a/headspar/lab/report.py
+++ b/headspar/lab/report.py
@@ -158,6 +158,13 @@
     figure.suptitle(f"{result.scenario}, seed {result.seed}: {100 * result.service.whole:.1f}% of the worth in time; "
                     f"{verdict}", fontsize=11)
     figure.tight_layout()
+    return png(figure)
+
+
+def png(figure: Any) -> bytes:
+    """The picture of a figure, which is closed."""
+    import matplotlib.pyplot as plt
+
     data = io.BytesIO()
     figure.savefig(data, format="png", dpi=110)
     plt.close(figure)
