Listen for the operators: healthcheck, figures, and a drain of the node

Change: headspar/operations with one table of states in place of two flags, a ledger fed where requests and attempts end, and a listener with 24 connections of its own, of which the oldest without a whole call goes first; the module says which backends it avoids. Ruled out: a late answer of the loop (calls took under 1 ms beside 200 holders); counting from the module's own counters (they miss refusals at the door).

--- a/headspar/__main__.py
+++ b/headspar/__main__.py
@@ -22,6 +22,9 @@
 from headspar.node.discovery import Discovery
 from headspar.node.peers import Peers
 from headspar.node.reach import Reach
+from headspar.operations import listener as operators
+from headspar.operations.calls import Calls
+from headspar.operations.lifecycle import Cause, State
 
 if TYPE_CHECKING:
     from headspar.recorder.file import Recorder
@@ -43,7 +46,11 @@
     sock = socket.socket(family, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     sock.setblocking(False)
-    sock.bind(address)
+    try:
+        sock.bind(address)
+    except OSError as error:
+        sock.close()
+        raise OSError(error.errno, f"{address[0]}:{address[1]}: {error.strerror}") from None
     return sock
 
 
@@ -53,7 +60,7 @@
     loop.set_exception_handler(
         lambda _, context: node.error("loop", context.get("exception") or RuntimeError(context["message"]))
     )
-    files = config.sockets - OWN_FILES - REFUSALS
+    files = config.sockets - OWN_FILES - REFUSALS - (operators.FILES if config.ops else 0)
     clients = max(4, int(CLIENTS_SHARE * files))
     budget = Budget(int(BODIES_SHARE * max(16, config.memory_mb - OWN_MB)) * 1024 * 1024)
     most = max(4, files - clients)
@@ -70,8 +77,11 @@
         peers = node.peers = Peers(node, config.peers, config.peers_all)
         await loop.create_datagram_endpoint(lambda: peers, local_addr=config.peer_listen)
     node.discovery.start(config.known)
-    server.ready = True
     listener = await loop.create_server(lambda: Client(server), sock=listen(config.listen), backlog=4096)
+    calls = Calls(node.lifecycle, node.figures)
+    ops = operators.Listener(calls, loop, listen(config.ops)) if config.ops else None
+    node.lifecycle.watchers.append(lambda state: server.send_away() if state is State.DRAINING else None)
+    node.lifecycle.move(Cause.STARTED)
     stopping = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stopping.set)
     loop.add_signal_handler(signal.SIGINT, stopping.set)
@@ -94,7 +104,10 @@
     gc.collect()
     gc.freeze()
     await stopping.wait()
+    node.lifecycle.move(Cause.TERM)
     await drain(server, listener, loop.time())
+    if ops is not None:
+        ops.close()
     if node.recorder is not None:
         node.recorder.close()
 
@@ -128,7 +141,6 @@
     """Answer all that was taken: each answer closes its connection, idle ones are closed once no new
     connections come, then the listener, which by then has nothing left to accept."""
     loop = asyncio.get_running_loop()
-    server.draining = True
     await asyncio.sleep(ACCEPT_S)
     listener.close()
     while loop.time() - since < END_S:
@@ -153,7 +165,7 @@
         print(f"headspar: {error}", file=sys.stderr)
         return 2
     except OSError as error:
-        print(f"headspar: cannot listen on {config.listen[0]}:{config.listen[1]}: {error}", file=sys.stderr)
+        print(f"headspar: cannot listen: {error}", file=sys.stderr)
         return 1
     return 0
 
--- a/headspar/config.py
+++ b/headspar/config.py
@@ -33,6 +33,7 @@
     peers: list[Address]
     peers_all: Address | None
     known: dict[str, Any]
+    ops: Address | None  # the operators' listener
     settings: Settings
     operator: Operator
 
@@ -100,6 +101,7 @@
     peers = raw.get("peers") or []
     if not isinstance(peers, list):
         raise ConfigError("peers: needs a list of addresses")
+    ops = environ.get("ROUTER_OPS") or raw.get("ops")
     peer_listen, peers_all = raw.get("peer_listen"), raw.get("peers_all")
     # The file can be replaced while the node runs, the environment can't: where both name an address of
     # discovery, the file's is the newer.
@@ -117,6 +119,7 @@
         peers=[parse_address(p, f"peers[{i}]") for i, p in enumerate(peers)],
         peers_all=parse_address(peers_all, "peers_all") if peers_all else None,
         known=_known(raw["known"]),
+        ops=parse_address(ops, "ROUTER_OPS or ops") if ops else None,
         settings=settings,
         operator=_operator(environ),
     )
--- a/headspar/decide.py
+++ b/headspar/decide.py
@@ -927,6 +927,10 @@
             self.failed += 1
         self._over(r)
 
+    def avoided(self) -> int:
+        """How many listed backends get no ordinary request now: draining, out of reach or suspect."""
+        return sum(1 for b in self.membership.backends.values() if not b.usable or b.health < SUSPECT)
+
     def belief(self) -> Belief:
         """What stands behind the decisions since the last tick; the host asks after one."""
         c = self.capacity
--- a/headspar/node/backends.py
+++ b/headspar/node/backends.py
@@ -114,8 +114,12 @@
         else:
             transport.write(head)
         self.unsent = transport.get_write_buffer_size() > 0 or transport.is_closing()
+        if not self.unsent:
+            self.pool.node.ledger.dispatches += 1
 
     def resume_writing(self) -> None:
+        if self.unsent and self.attempt is not None:
+            self.pool.node.ledger.dispatches += 1
         self.unsent = False
 
     def release(self) -> None:
--- a/headspar/node/clients.py
+++ b/headspar/node/clients.py
@@ -16,6 +16,7 @@
 from headspar.node.backends import MAX_BODY, MAX_HEAD, Budget
 from headspar.node.core import Node, Request, now_us
 from headspar.node.intake import Intake
+from headspar.operations.lifecycle import State
 
 if TYPE_CHECKING:
     from headspar.node.backends import Connection
@@ -33,6 +34,8 @@
 SLOW_BODY_US = 20  # a byte; 50 kB a second
 CREEP = 12  # times as slow as that, and it is a stall though bytes come
 LINGER_TICKS = 2
+IDLE_US = 300_000  # a drained node closes what has stood idle for so long
+LOOK_S = 0.05  # and looks for it so often
 # Two values of one of these, even the same twice, leave open which one others on the way have read.
 ONCE = frozenset((
     b"host", b"x-call-id", b"x-call-class", b"x-caller", b"x-budget", b"x-call-cost", b"x-again",
@@ -219,7 +222,7 @@
         elif length is not None and int(length) > MAX_BODY:
             self._reject(413)
         elif self.url == b"/healthz":
-            self.bad = 200 if self.server.healthy() else 503
+            self.bad = 200 if self.node.lifecycle.ready else 503
         else:
             self.bad = self._read(r, method)
             if not self.bad and length is not None and not self._grow(r, int(length)):
@@ -298,6 +301,8 @@
         r, bad = self.incoming, self.bad
         self.incoming = None
         if bad and r is not None:
+            if bad == 503 and r.cls:
+                self.node.turned_away(r)
             self.server.budget.give_back(r.size)
             r.size, r.body = 0, []
         if not self.parser.should_keep_alive():
@@ -354,7 +359,7 @@
 
     def _last(self) -> bool:
         """Whether the answer about to go out is this connection's last."""
-        return not self.queue and (self.close_after or self.over or self.server.draining)
+        return not self.queue and (self.close_after or self.over or self.node.lifecycle.sends_away)
 
     def _put(self, data: bytes) -> None:
         if self.transport is not None:
@@ -375,7 +380,7 @@
                 self.transport.resume_reading()
             self.node.loop.call_soon(self._take, item)
         elif not self.reading:
-            self.server.idle[self] = None
+            self.server.idle[self] = now_us()
 
     def _finish(self) -> None:
         """End after the last answer.  Closing with bytes unread would reset the connection and take the
@@ -477,19 +482,15 @@
     def __init__(self, node: Node, most: int, spare: int, budget: Budget) -> None:
         self.node, self.most, self.spare, self.budget = node, most, spare, budget
         self.clients: dict[Client, None] = {}
-        self.idle: dict[Client, None] = {}  # between requests, the longest idle first
+        self.idle: dict[Client, int] = {}  # between requests, and since when; the longest idle first
         self.slow: dict[Client, None] = {}
         self.ticks = 0
-        self.draining = False
-        self.ready = False
+        self.looking: asyncio.TimerHandle | None = None  # for idle ones, in a drain
         self.intake = Intake(node.settings)
 
-    def healthy(self) -> bool:
-        return self.ready and not self.draining
-
     def opened(self, client: Client) -> None:
         self.clients[client] = None
-        self.idle[client] = None
+        self.idle[client] = now_us()
         if len(self.clients) <= self.most:
             return
         now = now_us()
@@ -537,6 +538,19 @@
             if client.stalled(self.ticks):
                 client.stall()
 
-    def close_idle(self) -> None:
-        for client in list(self.idle):
+    def send_away(self) -> None:
+        """A drained node: answers close their connections, and what stands idle is closed here, until it is over."""
+        if self.looking is not None:
+            self.looking.cancel()
+            self.looking = None
+        if self.node.lifecycle.state is State.DRAINING:
+            self.close_idle(IDLE_US)
+            self.looking = self.node.loop.call_later(LOOK_S, self.send_away)
+
+    def close_idle(self, longer_than_us: int = 0) -> None:
+        """Close what has stood idle for that long."""
+        latest = now_us() - longer_than_us
+        for client, since in list(self.idle.items()):
+            if since > latest:
+                break
             self.drop_idle(client)
--- a/headspar/node/core.py
+++ b/headspar/node/core.py
@@ -12,7 +12,7 @@
 import sys
 import time
 from heapq import heappop, heappush
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from headspar.config import Config
 from headspar.decide import Balancer
@@ -35,6 +35,8 @@
     TimerFired,
     Watch,
 )
+from headspar.operations.ledger import Ledger
+from headspar.operations.lifecycle import Lifecycle
 
 if TYPE_CHECKING:
     from headspar.node.backends import Backends, Connection
@@ -110,13 +112,14 @@
         self.discovery: Discovery
         self.peers: Peers | None = None
         self.requests: dict[str, Request] = {}
+        self.lifecycle = Lifecycle()
+        self.ledger = Ledger(c.name for c in config.settings.classes)
         self.serial = 0
         self.events: list[Event] = []
         self.turn_due = False
         self.due: list[tuple[int, int, int, str]] = []  # heap of (time, kind, number, request's key)
         self.timer: asyncio.TimerHandle | None = None
         self.timer_at = 0
-        self.draining = False
         self.recorder: Recorder | None = None
         self.recorded_at = 0
         self.log_from, self.log_count = 0, 0
@@ -181,6 +184,7 @@
 
     def arrived(self, r: Request) -> None:
         now = now_us()
+        self.ledger.took()
         if len(self.requests) >= self.settings.most_held:
             self.answer(r, 503)
             return
@@ -194,8 +198,14 @@
             RequestArrived(r.key, r.cls, r.deadline, r.hint_us, r.target_key, r.tenant, r.is_repeat)
         )
 
+    def turned_away(self, r: Request) -> None:
+        """A request that the door has refused with 503: taken and ended at once."""
+        self.ledger.took()
+        self.ledger.answered(r.cls, 503)
+
     def answer(self, r: Request, status: int, retry_after_us: int = 0) -> None:
         r.live = False
+        self.ledger.answered(r.cls, status)
         client, r.client = r.client, None
         if client is not None:
             client.refuse(r, status, retry_after_us)
@@ -206,8 +216,10 @@
         r.client = None
         if r.live:
             r.live, r.left = False, True
+            self.ledger.left()
             self.post(ClientGone(r.key))
         if r.stream is not None:
+            self.ledger.left()
             self.end(r.stream, Outcome.CANCELLED)
         self._forget(r)
 
@@ -254,12 +266,14 @@
             r.stream = r.client = None
             final = True
             if client is not None:
+                self.ledger.answered(r.cls, 200 if outcome is Outcome.OK else 502)
                 client.stream_end(outcome is Outcome.OK)
         else:
             final = not r.live or outcome is Outcome.OK
             if r.live and outcome is Outcome.OK:
                 r.live = False
                 r.client = None
+                self.ledger.answered(r.cls, 200)
                 if client is not None:
                     client.serve(body, content_type)
         latency = (attempt.first_at or now) - attempt.sent_at
@@ -268,6 +282,10 @@
         # it, requests would fill the memory, the bodies' budget and at last ``most_held``.
         self._forget(r)
 
+    def figures(self) -> dict[str, Any]:
+        """What ``GET /stats`` shows; which backends are avoided the module says."""
+        return self.ledger.figures(len(self.reach.entries), self.balancer.avoided())
+
     # ------------------------------------------------------------ actions of the module
 
     def _send(self, action: Send, now: int) -> None:
--- /dev/null
+++ b/headspar/operations/calls.py
@@ -0,0 +1,67 @@
+"""Which call of the operators gets which answer; without I/O."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from headspar.operations.lifecycle import Cause, Lifecycle
+
+REASONS = {
+    200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
+    409: "Conflict", 413: "Content Too Large", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
+    503: "Service Unavailable",
+}
+
+
+@dataclass(slots=True)
+class Reply:
+    """One answer; ``body`` is sent as JSON."""
+
+    status: int
+    body: dict[str, Any] = field(default_factory=dict)
+    allow: str = ""
+
+    def encode(self) -> bytes:
+        """The whole message; the connection ends with it."""
+        body = json.dumps(self.body, separators=(",", ":")).encode()
+        allow = f"Allow: {self.allow}\r\n" if self.allow else ""
+        head = (
+            f"HTTP/1.1 {self.status} {REASONS[self.status]}\r\nContent-Type: application/json\r\n{allow}"
+            f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+        )
+        return head.encode() + body
+
+
+class Calls:
+    """The calls of one process."""
+
+    def __init__(self, lifecycle: Lifecycle, figures: Callable[[], dict[str, Any]]) -> None:
+        self.lifecycle, self.figures = lifecycle, figures
+        self.table: dict[str, tuple[str, Callable[[], Reply]]] = {
+            "/healthcheck": ("GET", self._healthcheck),
+            "/stats": ("GET", lambda: Reply(200, self.figures())),
+            "/healthcheck/fail": ("POST", lambda: self._move(Cause.FAIL)),
+            "/healthcheck/ok": ("POST", lambda: self._move(Cause.OK)),
+        }
+
+    def answer(self, method: str, target: str) -> Reply:
+        """The answer to a whole call; ``target`` as it stands in the request line."""
+        found = self.table.get(target.partition("?")[0])
+        if found is None:
+            return Reply(404, {"error": "no such call"})
+        allowed, act = found
+        if method != allowed:
+            return Reply(405, {"error": f"needs {allowed}"}, allowed)
+        return act()
+
+    def _state(self, status: int) -> Reply:
+        return Reply(status, {"state": self.lifecycle.state.value})
+
+    def _healthcheck(self) -> Reply:
+        return self._state(200 if self.lifecycle.ready else 503)
+
+    def _move(self, cause: Cause) -> Reply:
+        return self._state(200 if self.lifecycle.move(cause) else 409)
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -254,7 +254,7 @@
 
     def __init__(self, backends: list[Backend], discovery: Discovery | None = None, *, memory_mb: int = 192,
                  sockets: int = 1024, peers: list[tuple[str, int]] | None = None, healthy: bool = True,
-                 known: list[dict[str, Any]] | None = None, ask_every_us: int = 1_000_000,
+                 known: list[dict[str, Any]] | None = None, ask_every_us: int = 1_000_000, ops: bool = False,
                  **limits: Any) -> None:
         self.backends = backends
         rows = [b.row() for b in backends] if known is None else known
@@ -276,6 +276,9 @@
             os.environ, ROUTER_NAME="n0", ROUTER_LISTEN=text(self.address),
             ROUTER_DISCOVERY=text(self.discovery.address), ROUTER_CONFIG=str(path),
         )
+        self.ops = free_address() if ops else None
+        if self.ops is not None:
+            self.env["ROUTER_OPS"] = text(self.ops)
         self.start(healthy)
 
     def start(self, healthy: bool = True) -> None:
@@ -293,6 +296,17 @@
         except OSError:
             return 0
 
+    def call(self, path: str, method: str = "GET") -> tuple[int, dict[str, Any]]:
+        """One call of an operator: the status and the answer's JSON."""
+        assert self.ops is not None
+        connection = http.client.HTTPConnection(*self.ops, timeout=PATIENCE)
+        try:
+            connection.request(method, path)
+            response = connection.getresponse()
+            return response.status, json.loads(response.read())
+        finally:
+            connection.close()
+
     def client(self) -> Client:
         return Client(self.address)
 
@@ -381,6 +395,12 @@
     def read(self) -> Answer:
         return Answer(self.stream)
 
+    def __enter__(self) -> Client:
+        return self
+
+    def __exit__(self, *what: object) -> None:
+        self.close()
+
     def ended(self) -> bool:
         """Whether the node ends the connection, with nothing more on it."""
         try:
--- /dev/null
+++ b/tests/operations/test_calls_on_sockets.py
@@ -0,0 +1,209 @@
+"""The operators' listener, the figures and a drain, on the real program."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import socket
+import threading
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from tests.loopback import PATIENCE, Node, answer, free_address, reset, running, text, wait_for
+
+
+@pytest.fixture
+def node() -> Iterator[Node]:
+    with running(None, None, ops=True) as node:
+        yield node
+
+
+def raw(node: Node, data: bytes) -> bytes:
+    """What comes back for these bytes, until the node ends the connection."""
+    assert node.ops is not None
+    with socket.create_connection(node.ops, PATIENCE) as sock:
+        sock.sendall(data)
+        got = b""
+        while part := sock.recv(65536):
+            got += part
+        return got
+
+
+def test_the_calls_and_what_can_not_be_read(node: Node) -> None:
+    assert node.call("/healthcheck") == (200, {"state": "ready"})
+    assert node.call("/nothing")[0] == 404
+    assert node.call("/stats", "POST")[0] == 405
+    assert raw(node, b"\x16\x03\x01 what\r\n\r\n").startswith(b"HTTP/1.1 400 ")
+    assert raw(node, b"GET /stats HTTP/1.1\r\nX: " + b"x" * 9000).startswith(b"HTTP/1.1 431 ")
+    # One call to a connection: what is pipelined behind it gets nothing.
+    twice = raw(node, b"GET /healthcheck HTTP/1.1\r\nHost: x\r\n\r\n" * 2)
+    assert twice.count(b"HTTP/1.1 ") == 1
+
+
+def test_callers_that_hold_connections_keep_nobody_out(node: Node) -> None:
+    assert node.ops is not None
+    before = node.files()
+    with contextlib.ExitStack() as stack:
+        for _ in range(200):
+            sock = stack.enter_context(socket.create_connection(node.ops, PATIENCE))
+            with contextlib.suppress(OSError):
+                sock.sendall(b"GET /healthcheck HTTP/1.1\r\nHo")
+        assert node.call("/healthcheck")[0] == 200
+        assert node.call("/stats")[0] == 200
+        assert node.files() <= before + 26
+        with node.client() as client:
+            assert client.ask().status == 200
+
+
+def test_without_an_address_nothing_listens() -> None:
+    with running(None) as node:
+        node.ops = free_address()
+        with pytest.raises(ConnectionRefusedError):
+            node.call("/healthcheck")
+
+
+def test_the_file_may_name_the_address() -> None:
+    with running(None, healthy=True) as node:
+        node.stop()
+        node.ops = free_address()
+        path = Path(node.env["ROUTER_CONFIG"])
+        path.write_text(json.dumps({**json.loads(path.read_text()), "ops": text(node.ops)}))
+        node.start()
+        assert node.call("/healthcheck")[0] == 200
+
+
+def test_figures_say_what_became_of_requests_and_attempts() -> None:
+    def script(sock: socket.socket, n: int) -> bool | None:
+        if n == 3:
+            sock.sendall(answer(500))
+        elif n == 4:
+            time.sleep(0.5)
+            sock.sendall(answer())
+        elif n == 5:
+            reset(sock)
+            return False
+        else:
+            sock.sendall(answer(200, b"x" * (100_000 if n == 6 else 2)))
+        return None
+
+    with running(script, ops=True, try_limit=1) as node, node.client() as client:
+        assert client.ask("look").status == 200
+        assert client.ask("pay", b"1").status == 200
+        assert client.ask("crew").status == 502
+        slow = node.client()
+        slow.send(slow.head("look"))
+        wait_for(lambda: node.call("/stats")[1]["concurrent"] == 1)
+        slow.close()  # a client that leaves is in no class's figures
+        wait_for(lambda: node.call("/stats")[1]["concurrent"] == 0)
+        time.sleep(0.6)
+        assert client.ask("crew").status == 502
+        assert len(client.ask("look").body) == 100_000
+        assert client.ask_with({"X-Budget": "soon"}).status == 400  # never taken
+        status, stats = node.call("/stats")
+        assert status == 200
+        assert stats["replies"] == {
+            "look": {"success": 2, "overload": 0, "error": 0},
+            "pay": {"success": 1, "overload": 0, "error": 0},
+            "crew": {"success": 0, "overload": 0, "error": 2},
+        }
+        assert stats["dispatches"] == 6
+        assert (stats["targets"], stats["concurrent"]) == (1, 0)
+
+
+def test_a_request_refused_at_the_door_is_an_overload() -> None:
+    with running(None, ops=True, memory_mb=64) as small, small.client() as client:
+        assert client.ask("pay", b"x" * 12_000_000).status == 503
+        assert small.call("/stats")[1]["replies"]["pay"]["overload"] == 1
+
+
+def test_draining_backends_count_as_disabled(node: Node) -> None:
+    wait_for(lambda: node.call("/stats")[1]["targets"] == 2)
+    assert node.call("/stats")[1]["targets_disabled"] == 0
+    node.discovery.tell([node.backends[0].row(lifecycle="draining")])
+    wait_for(lambda: node.call("/stats")[1]["targets_disabled"] == 1)
+    node.discovery.tell([node.backends[0].row(lifecycle="gone")])
+    wait_for(lambda: (lambda s: (s["targets"], s["targets_disabled"]) == (1, 0))(node.call("/stats")[1]))
+
+
+def test_a_drain_sends_clients_away_and_the_second_call_brings_them_back(node: Node) -> None:
+    idle, busy = node.client(), node.client()
+    assert idle.ask().status == busy.ask().status == 200
+    assert node.call("/healthcheck/fail", "POST")[0] == 200
+    began = time.monotonic()
+    assert node.health() == 503 and node.call("/healthcheck")[0] == 503
+    last = busy.ask()  # still served, on its connection's last answer
+    assert last.status == 200 and last.headers["Connection"] == "close" and busy.ended()
+    assert idle.ended()
+    # The bench's own limit is 4 s, of which the last 2 s may bring no request.
+    assert time.monotonic() - began < 2.0
+    # A new connection is served all the same: it may have been dealt out before the no was heard.
+    with node.client() as late:
+        assert late.ask().status == 200 and late.ended()
+    assert node.call("/healthcheck/fail", "POST")[0] == 200  # again changes nothing
+    assert node.call("/healthcheck/ok", "POST")[0] == 200
+    assert node.health() == 200
+    with node.client() as back:
+        assert back.ask().status == 200 and back.ask().status == 200
+        time.sleep(0.5)  # longer than idle ones stand in a drain
+        assert back.ask().status == 200
+
+
+def test_a_drain_while_a_request_runs_and_with_pipelined_ones_behind_it_loses_none() -> None:
+    hold = threading.Event()
+
+    def script(sock: socket.socket, n: int) -> None:
+        hold.wait(PATIENCE)
+        sock.sendall(answer(200, b"%d" % n))
+
+    with running(script, ops=True) as node, node.client() as client:
+        client.send(client.head() + client.head() + client.head())
+        wait_for(lambda: node.call("/stats")[1]["concurrent"] == 1)
+        node.call("/healthcheck/fail", "POST")
+        time.sleep(0.5)
+        hold.set()
+        answers = [client.read() for _ in range(3)]
+        assert [a.status for a in answers] == [200] * 3
+        assert [a.headers.get("Connection") for a in answers] == [None, None, "close"]
+        assert client.ended()
+
+
+def test_the_second_call_in_the_middle_and_before_the_first(node: Node) -> None:
+    assert node.call("/healthcheck/ok", "POST")[0] == 200
+    with node.client() as client:
+        assert client.ask().status == 200
+        for _ in range(20):
+            node.call("/healthcheck/fail", "POST")
+            node.call("/healthcheck/ok", "POST")
+        assert node.health() == 200
+        assert client.ask().status == 200
+
+
+def test_a_drain_while_discovery_is_down(node: Node) -> None:
+    node.discovery.close()
+    assert node.call("/healthcheck/fail", "POST")[0] == 200
+    with node.client() as client:
+        assert client.ask().status == 200 and client.ended()
+    assert node.call("/healthcheck/ok", "POST")[0] == 200 and node.health() == 200
+
+
+def test_a_flood_of_calls_leaves_clients_their_answers() -> None:
+    with running(None, ops=True) as node, node.client() as client:
+        statuses: list[int] = []
+
+        def flood() -> None:
+            for _ in range(500):
+                statuses.append(node.call("/stats")[0])
+
+        threads = [threading.Thread(target=flood) for _ in range(4)]
+        for thread in threads:
+            thread.start()
+        served = [client.ask().status for _ in range(200)]
+        for thread in threads:
+            thread.join()
+        assert statuses == [200] * 2000
+        assert served == [200] * 200
+
+
