--- a/tests/connections/test_socket_side.py
+++ b/tests/connections/test_socket_side.py
@@ -15,6 +15,7 @@
 from headspar.interface import Outcome
 from headspar.node.backends import Backends, Budget
 from headspar.node.core import Attempt, Node, Request, now_us
+from headspar.operations.ledger import Ledger
 from headspar.operator_file import Connections
 from tests.helpers import settings
 from tests.loopback import deaf, free_address
@@ -29,6 +30,7 @@
     def __init__(self, ahead: int = 0, **changes: Any) -> None:
         self.settings = settings(**changes)
         self.loop = asyncio.get_running_loop()
+        self.ledger = Ledger()
         self.ends: list[tuple[Attempt, Outcome]] = []
         self.errors: list[BaseException] = []
         self.backends = Backends(cast(Node, self), 100, Budget(1 << 20), Connections(ahead=ahead))
