Hand the listening socket and idle clients over to a second process in an upgrade

Cause: a second process could not take the address and ended (a crash, and 15 to 22 requests lost). Found by a test: the second process counted clients that came over against what the first had told before and dropped four of 60. Ruled out: resets from the accept queue (there is one queue, both read it).

--- a/headspar/connections/plan.py
+++ b/headspar/connections/plan.py
@@ -45,7 +45,7 @@
 import random
 from collections import OrderedDict, deque
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 from heapq import heapify, heappop, heappush
 from math import ceil, exp, sqrt
@@ -234,6 +234,12 @@
         if s is not None:
             s.warm = min(1.0, max(0.01, share))
 
+    def limit(self, most: int) -> list[int]:
+        """From now on at most so many connections; idle ones beyond that, to be closed, the longest idle first."""
+        self.settings = replace(self.settings, most=most)
+        surplus = len(self.connections) - most
+        return [self._drop(c) for c in list(self.idle.values())[:max(0, surplus)]]
+
     # ------------------------------------------------------------ an attempt
 
     def take(self, server: str, now: int, *, proof: bool) -> Told:
--- a/headspar/node/backends.py
+++ b/headspar/node/backends.py
@@ -451,6 +451,15 @@
         self.connections.pop(conn.number, None)
         self.plan.ended(conn.number, now_us(), by_server=by_server, silent=silent)
 
+    def busy(self) -> int:
+        """Connections that carry an attempt or are being made."""
+        return len(self.connections) - len(self.plan.idle)
+
+    def limit(self, most: int) -> None:
+        """From now on at most so many connections; idle ones beyond that are closed."""
+        self.most = most
+        self._close(self.plan.limit(most))
+
     def let_go(self, ids: list[str]) -> None:
         """Hosts that are out of reach: nothing more goes to them, and what stands idle is closed."""
         for id in ids:
--- a/headspar/node/clients.py
+++ b/headspar/node/clients.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 from itertools import islice
 from typing import TYPE_CHECKING, Any, cast
 
@@ -381,6 +382,8 @@
             self.node.loop.call_soon(self._take, item)
         elif not self.reading:
             self.server.idle[self] = now_us()
+            if self.node.lifecycle.hands_over:
+                self.node.loop.call_soon(self.server.on_idle)
 
     def _finish(self) -> None:
         """End after the last answer.  Closing with bytes unread would reset the connection and take the
@@ -487,6 +490,7 @@
         self.ticks = 0
         self.looking: asyncio.TimerHandle | None = None  # for idle ones, in a drain
         self.intake = Intake(node.settings)
+        self.on_idle: Callable[[], None] = lambda: None  # a client has become idle while a successor takes them
 
     def opened(self, client: Client) -> None:
         self.clients[client] = None
@@ -547,6 +551,26 @@
             self.close_idle(IDLE_US)
             self.looking = self.node.loop.call_later(LOOK_S, self.send_away)
 
+    def movable(self, most: int) -> dict[int, Client]:
+        """Up to so many clients between two requests, with nothing unsent, by their descriptors."""
+        found: dict[int, Client] = {}
+        for client in self.idle:
+            transport = client.transport
+            if transport is None or transport.is_closing() or client.over or client._unread():
+                continue
+            found[transport.get_extra_info("socket").fileno()] = client
+            if len(found) >= most:
+                break
+        return found
+
+    def moved(self, client: Client) -> None:
+        """Another process has this connection: ours ends with no word to the client."""
+        self.idle.pop(client, None)
+        self.clients.pop(client, None)
+        client.deaf = True
+        if client.transport is not None:
+            client.transport.abort()
+
     def close_idle(self, longer_than_us: int = 0) -> None:
         """Close what has stood idle for that long."""
         latest = now_us() - longer_than_us
--- a/headspar/node/core.py
+++ b/headspar/node/core.py
@@ -114,6 +114,7 @@
         self.requests: dict[str, Request] = {}
         self.lifecycle = Lifecycle()
         self.ledger = Ledger(c.name for c in config.settings.classes)
+        self.most_held = config.settings.most_held
         self.serial = 0
         self.events: list[Event] = []
         self.turn_due = False
@@ -185,7 +186,7 @@
     def arrived(self, r: Request) -> None:
         now = now_us()
         self.ledger.took()
-        if len(self.requests) >= self.settings.most_held:
+        if len(self.requests) >= self.most_held:
             self.answer(r, 503)
             return
         self.serial += 1
@@ -382,6 +383,15 @@
         if due and self.timer is None:
             self._arm(due[0][0])
 
+    def cut(self) -> None:
+        """The process ends before the deadlines of these requests: each gets its final answer now."""
+        for r in [r for r in self.requests.values() if r.live]:
+            for attempt in r.attempts[:]:
+                self.end(attempt, Outcome.CANCELLED)
+            if r.live:
+                self.answer(r, 504)
+                self.post(ClientGone(r.key))
+
     # ------------------------------------------------------------ from the other parts
 
     def told(self, event: BackendList) -> None:
--- a/headspar/operations/lifecycle.py
+++ b/headspar/operations/lifecycle.py
@@ -16,7 +16,8 @@
     READY = "ready"
     DRAINING = "draining"  # clients are sent away until the second call
     HANDING_OVER = "handing over"  # a successor serves; connections go over to it
-    ENDING = "ending"  # SIGTERM has come
+    LEAVING = "handing over, ending"  # and SIGTERM has come
+    ENDING = "ending"  # SIGTERM has come, and there is no successor
 
 
 class Cause(Enum):
@@ -45,9 +46,12 @@
     (S.DRAINING, C.TERM): S.ENDING,
     (S.HANDING_OVER, C.FAIL): S.HANDING_OVER,  # they are away already
     (S.HANDING_OVER, C.ALONE): S.READY,
-    (S.HANDING_OVER, C.TERM): S.ENDING,
+    (S.HANDING_OVER, C.TERM): S.LEAVING,
+    (S.LEAVING, C.FAIL): S.LEAVING,
+    (S.LEAVING, C.TERM): S.LEAVING,
+    (S.LEAVING, C.ALONE): S.ENDING,
     (S.ENDING, C.FAIL): S.ENDING,
-    (S.ENDING, C.SUCCEEDED): S.ENDING,
+    (S.ENDING, C.SUCCEEDED): S.LEAVING,
     (S.ENDING, C.ALONE): S.ENDING,
     (S.ENDING, C.TERM): S.ENDING,
 }
@@ -80,3 +84,13 @@
     def sends_away(self) -> bool:
         """Whether each answer closes its connection."""
         return self.state is State.DRAINING or self.state is State.ENDING
+
+    @property
+    def hands_over(self) -> bool:
+        """Whether a connection between two requests goes over to a successor."""
+        return self.state is State.HANDING_OVER or self.state is State.LEAVING
+
+    @property
+    def ending(self) -> bool:
+        """Whether SIGTERM has come."""
+        return self.state is State.ENDING or self.state is State.LEAVING
--- a/headspar/operations/listener.py
+++ b/headspar/operations/listener.py
@@ -16,9 +16,8 @@
 
 from headspar.operations.calls import Calls, Reply
 
-MOST = 24
-IN_A_TURN = 8
-FILES = MOST + 2  # the listener, and the newcomer before another has gone
+MOST = 16
+IN_A_TURN = 4
 BACKLOG = 1024
 MAX_CALL = 8 * 1024  # bytes of a call, its body too
 PATIENCE_S = 5.0  # for a whole call
@@ -103,6 +102,7 @@
     def __init__(self, calls: Calls, loop: asyncio.AbstractEventLoop, sock: socket.socket) -> None:
         self.calls, self.loop, self.sock = calls, loop, sock
         self.callers: dict[Caller, None] = {}  # the oldest first
+        self.most = MOST
         sock.listen(BACKLOG)
         loop.add_reader(sock.fileno(), self._accept)
 
@@ -113,7 +113,7 @@
             except OSError:
                 return
             sock.setblocking(False)
-            if len(self.callers) >= MOST:
+            while len(self.callers) >= self.most:
                 oldest = next(iter(self.callers))
                 next((c for c in self.callers if not c.answered), oldest).close()
             caller = Caller(self, sock)
--- /dev/null
+++ b/headspar/process.py
@@ -0,0 +1,289 @@
+"""One node's process: its parts put together, its signals, and its place in an upgrade."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import os
+import signal
+import socket
+import sys
+from collections.abc import Coroutine
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from headspar.config import Address, Config, ConfigError, load_config
+from headspar.connections.subset import Subset, SubsetSettings
+from headspar.handover import meeting, shares
+from headspar.handover.giver import Giver
+from headspar.handover.messages import Held, Offer
+from headspar.handover.taker import Taken, Taker
+from headspar.node.backends import Backends, Budget
+from headspar.node.clients import Client, Server
+from headspar.node.core import Node, now_us
+from headspar.node.discovery import Discovery
+from headspar.node.peers import Peers
+from headspar.node.reach import Reach
+from headspar.operations import listener as operators
+from headspar.operations.calls import Calls
+from headspar.operations.lifecycle import Cause, State
+
+if TYPE_CHECKING:
+    from headspar.recorder.file import Recorder
+
+OWN_MB = 72  # the program itself, buffers of sockets, held requests
+BODIES_SHARE = 0.6  # of the memory beyond that
+ACCEPT_S = 0.55  # after SIGTERM new connections go on coming for up to 0.4 s
+LONGEST_S = 3.0  # what SIGKILL waits for of the longest deadline, at the most
+END_S = 0.55  # beyond it; SIGKILL comes 0.7 s beyond
+SWEEP_S = 1.0
+TEND_S = 0.2
+BACKLOG = 4096
+RESERVE = 8  # connections to backends that a process keeps for repeats while its successor serves
+
+
+def bound(address: Address, kind: socket.SocketKind = socket.SOCK_STREAM) -> socket.socket:
+    """A socket at the address, taken again at once after a kill, and beside another process of this node."""
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    sock = socket.socket(family, kind)
+    if kind == socket.SOCK_STREAM:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    sock.setblocking(False)
+    try:
+        sock.bind(address)
+    except OSError as error:
+        sock.close()
+        raise OSError(error.errno, f"{address[0]}:{address[1]}: {error.strerror}") from None
+    return sock
+
+
+class Process:
+    """The parts of one node, from their making to the end; the giver's and taker's view of them."""
+
+    def __init__(self, config: Config, taken: Taken | None, loop: asyncio.AbstractEventLoop) -> None:
+        self.config, self.taken, self.loop = config, taken, loop
+        node = self.node = Node(config, loop)
+        loop.set_exception_handler(
+            lambda _, context: node.error("loop", context.get("exception") or RuntimeError(context["message"]))
+        )
+        callers = operators.MOST if config.ops else 0
+        self.alone_share = shares.whole(config.sockets, callers, config.settings.most_held)
+        budget = Budget(int(BODIES_SHARE * max(16, config.memory_mb - OWN_MB)) * 1024 * 1024)
+        file = config.operator.connections
+        most = self.alone_share.backends
+        node.backends = Backends(node, most, budget, file)
+        node.reach = Reach(Subset(SubsetSettings(
+            most, config.settings.me, config.settings.balancers, file.per_server, file.room,
+            max(1, int(1e6 * file.swap_s)), max(1, int(1e6 * file.turn_s)),
+        )))
+        node.recorder = recorder(config, node)
+        node.discovery = Discovery(node, node.backends, config.discovery)
+        self.server = Server(node, self.alone_share.clients, self.alone_share.spare, budget)
+        self.calls = Calls(node.lifecycle, node.figures)
+        self.ops: operators.Listener | None = None
+        self.peers_socket: socket.socket | None = None
+        self.listening: asyncio.Server | None = None
+        self.giver: Giver | None = None
+        self.taker: Taker | None = None
+        self.moving: dict[int, Client] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.stopping = asyncio.Event()
+        node.lifecycle.watchers.append(lambda state: self.server.send_away() if state is State.DRAINING else None)
+
+    # ------------------------------------------------------------ start
+
+    async def start(self) -> None:
+        """Serve: on the sockets of the process before this one where it has offered them."""
+        config, node, loop, taken = self.config, self.node, self.loop, self.taken
+        self.socket = taken.listener if taken else bound(config.listen)
+        if config.peer_listen and config.peers_all and config.settings.may_tell_peers:
+            self.peers_socket = taken.peers if taken and taken.peers else bound(config.peer_listen, socket.SOCK_DGRAM)
+            await self._listen_to_peers()
+        if taken is not None:
+            self._share(shares.second(self.alone_share, taken.offer))
+        node.discovery.start(config.known)
+        if config.ops:
+            self.ops = operators.Listener(self.calls, loop, bound(config.ops))
+        await self._listen()
+        node.lifecycle.move(Cause.STARTED)
+        if taken is not None:
+            self.taker = Taker(taken, loop, adopt=self._adopt, share=self._held_by_first, log=node.log)
+            self.taker.ready()
+        path = meeting.place(os.environ, config.listen)
+        if path is not None:
+            try:
+                self.giver = Giver(self, loop, path)
+                self.server.on_idle = self.giver.changed
+            except OSError as error:
+                node.log(f"hand-over: no upgrades without loss from here: {path}: {error.strerror}")
+        loop.add_signal_handler(signal.SIGTERM, self.stopping.set)
+        loop.add_signal_handler(signal.SIGINT, self.stopping.set)
+        # Without a handler SIGHUP ends the process, and with it all requests that it has taken.
+        loop.add_signal_handler(signal.SIGHUP, reload, node)
+        self._sweep()
+        self._tend()
+        gc.collect()
+        gc.freeze()
+
+    async def _listen(self) -> None:
+        """Accept clients, on a copy: the socket itself is kept for a successor, or to listen again."""
+        server = self.server
+        sock = self.socket.dup()
+        self.listening = await self.loop.create_server(lambda: Client(server), sock=sock, backlog=BACKLOG)
+
+    async def _listen_to_peers(self) -> None:
+        node, config = self.node, self.config
+        assert self.peers_socket is not None and config.peers_all is not None
+        peers = node.peers = Peers(node, config.peers, config.peers_all)
+        await self.loop.create_datagram_endpoint(lambda: peers, sock=self.peers_socket.dup())
+
+    def _sweep(self) -> None:
+        self.server.sweep()
+        now = now_us()
+        self.node.backends.sweep(now)
+        self.node.move_reach(now)
+        self.loop.call_later(SWEEP_S, self._sweep)
+
+    def _tend(self) -> None:
+        self.node.backends.tend(now_us())
+        self.loop.call_later(TEND_S, self._tend)
+
+    # ------------------------------------------------------------ beside a second process
+
+    def _share(self, part: shares.Shares) -> None:
+        self.server.most, self.server.spare = part.clients, part.spare
+        self.node.backends.limit(part.backends)
+        self.node.most_held = part.requests
+        if self.ops is not None:
+            self.ops.most = max(1, part.callers)
+
+    def _adopt(self, sock: socket.socket) -> None:
+        """A client of the process before this one, between two requests.  That one holds one less: without its room
+        here, clients that come over would push out others."""
+        self.server.most += 1
+        self._spawn(self._serve(sock))
+
+    async def _serve(self, sock: socket.socket) -> None:
+        server = self.server
+        try:
+            await self.loop.connect_accepted_socket(lambda: Client(server), sock)
+        except OSError:
+            sock.close()
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = self.loop.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def _held_by_first(self, held: Held | None) -> None:
+        """The process before this one holds so much; None: it has ended."""
+        self._share(self.alone_share if held is None else shares.second(self.alone_share, held))
+
+    def offered(self) -> tuple[Offer, list[int], bytes]:
+        """A second process starts."""
+        self._share(shares.offered(self.alone_share))
+        files = [self.socket.fileno()] + ([self.peers_socket.fileno()] if self.peers_socket else [])
+        held = self.held()
+        return Offer(len(files) > 1, held.clients, held.backends, held.requests), files, b"{}"
+
+    def succeeded(self) -> None:
+        """It serves: nothing more is accepted here, and no peer is heard or told."""
+        self.node.lifecycle.move(Cause.SUCCEEDED)
+        if self.listening is not None:
+            self.listening.close()
+            self.listening = None
+        peers, self.node.peers = self.node.peers, None
+        if peers is not None and peers.transport is not None:
+            peers.transport.close()
+
+    def idle(self, most: int) -> list[int]:
+        self.moving = self.server.movable(most)
+        return list(self.moving)
+
+    def given(self, files: list[int]) -> None:
+        for fd in files:
+            self.server.moved(self.moving.pop(fd))
+
+    def held(self) -> Held:
+        backends = self.node.backends
+        if self.node.lifecycle.hands_over:
+            backends.limit(min(backends.most, backends.busy() + RESERVE))
+            return Held(len(self.server.clients), backends.most, len(self.node.requests))
+        return Held(len(self.server.clients), len(backends.connections), len(self.node.requests))
+
+    def alone(self) -> None:
+        """The second process is gone: this one is the node again, unless it ends itself."""
+        self.node.log("hand-over: the second process is gone")
+        self._share(self.alone_share)
+        handed = self.node.lifecycle.hands_over
+        self.node.lifecycle.move(Cause.ALONE)
+        if handed and not self.node.lifecycle.ending:
+            self._spawn(self._listen())
+            if self.peers_socket is not None:
+                self._spawn(self._listen_to_peers())
+
+    # ------------------------------------------------------------ the end
+
+    async def end(self) -> None:
+        """Answer all that was taken.  Alone, each answer closes its connection, idle ones are closed once no new
+        connections come, then the listener, which by then has nothing left to accept.  With a successor they go
+        over to it."""
+        node, server, loop = self.node, self.server, self.loop
+        since = loop.time()
+        node.lifecycle.move(Cause.TERM)
+        last = since + END_S + min(LONGEST_S, max(c.deadline_us for c in node.settings.classes) / 1e6)
+        cut = False
+        while loop.time() < last:
+            handed = node.lifecycle.hands_over
+            if not handed and loop.time() - since > ACCEPT_S:
+                if self.listening is not None:
+                    self.listening.close()
+                    self.listening = None
+                    self.socket.close()
+                server.close_idle()
+            if not server.clients and (handed or self.listening is None):
+                break
+            if not cut and last - loop.time() < 0.15:
+                cut = True
+                node.cut()
+            await asyncio.sleep(0.02)
+        if self.giver is not None:
+            self.giver.close()
+        if self.ops is not None:
+            self.ops.close()
+        if node.recorder is not None:
+            node.recorder.close()
+
+
+def recorder(config: Config, node: Node) -> Recorder | None:
+    """The flight recorder, where the operator's file names a file for it."""
+    table = config.operator.recorder
+    if not table.file:
+        return None
+    from headspar.recorder.file import Recorder
+
+    path = Path(table.file.replace("{name}", config.name))
+    try:
+        return Recorder(path, int(table.size_mb * 1e6), config.name, node.log)
+    except OSError as error:
+        raise ConfigError(f"recorder.file: {path}: {error.strerror}") from None
+
+
+def reload(node: Node) -> None:
+    """SIGHUP: the configuration has been replaced.  Discovery's new address holds from now on, all else from
+    the next start; with a configuration that is no good the node stays as it is."""
+    try:
+        config = load_config(os.environ)
+    except ConfigError as error:
+        print(f"headspar: {error}", file=sys.stderr, flush=True)
+        return
+    node.discovery.move(config.discovery)
+
+
+async def serve(config: Config, taken: Taken | None) -> None:
+    """One node, until SIGTERM and what follows it."""
+    process = Process(config, taken, asyncio.get_running_loop())
+    await process.start()
+    await process.stopping.wait()
+    await process.end()
--- /dev/null
+++ b/tests/handover/test_upgrades.py
@@ -0,0 +1,269 @@
+"""Upgrades of the real program: two processes, and a process that meets a broken one."""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import threading
+import time
+from collections.abc import Iterator
+from functools import partial
+from pathlib import Path
+
+import pytest
+
+from headspar.handover import meeting
+from headspar.handover.messages import Hello, Offer, Ready
+from tests.loopback import PATIENCE, Node, answer, running, wait_for
+
+
+class Load:
+    """Clients that ask all the time, each on one connection which it never gives up by itself."""
+
+    def __init__(self, node: Node, clients: int) -> None:
+        self.node = node
+        self.stopping = False
+        self.statuses: list[int] = []
+        self.ended: list[str] = []
+        self.threads = [threading.Thread(target=self._ask, args=(i,)) for i in range(clients)]
+        for thread in self.threads:
+            thread.start()
+
+    def _ask(self, i: int) -> None:
+        with self.node.client() as client:
+            while not self.stopping:
+                try:
+                    got = client.ask(("look", "pay")[i % 2], b"x" * (10 if i % 2 else 0))
+                except Exception as error:  # the connection ended: what no upgrade may cause
+                    self.ended.append(repr(error))
+                    return
+                self.statuses.append(got.status)
+                if got.headers.get("Connection") == "close":
+                    self.ended.append("told to close")
+                    return
+                time.sleep(0.02)
+
+    def stop(self) -> None:
+        self.stopping = True
+        for thread in self.threads:
+            thread.join(PATIENCE)
+
+
+@pytest.fixture
+def node() -> Iterator[Node]:
+    with running(None, None, ops=True) as node:
+        yield node
+
+
+def place(node: Node) -> Path:
+    found = meeting.place(node.env, node.address)
+    assert found is not None
+    return found
+
+
+def test_ten_upgrades_in_a_row_close_no_connection_and_lose_no_request(node: Node) -> None:
+    load = Load(node, 50)
+    for _ in range(10):
+        asked = len(load.statuses)
+        node.upgrade()
+        wait_for(partial(lambda seen: len(load.statuses) > seen + 50, asked))
+    load.stop()
+    assert load.ended == []
+    assert set(load.statuses) == {200}
+    assert node.log.read_text().count("connections came") == 10
+
+
+def test_two_processes_stay_within_one_nodes_descriptors() -> None:
+    with running(None, None, ops=True, sockets=256) as node:
+        load = Load(node, 60)
+        wait_for(lambda: len(load.statuses) > 300)
+        first = node.second()
+        end = time.monotonic() + 1.0
+        most = 0
+        while time.monotonic() < end:
+            most = max(most, node.files() + len(os.listdir(f"/proc/{first.pid}/fd")))
+        first.send_signal(signal.SIGTERM)
+        assert first.wait(PATIENCE) == 0
+        load.stop()
+        assert load.ended == [] and 120 < most <= 256
+
+
+def test_a_request_that_runs_is_answered_by_the_process_that_took_it() -> None:
+    hold = threading.Event()
+
+    def script(sock: socket.socket, n: int) -> None:
+        if n == 1:
+            hold.wait(PATIENCE)
+        sock.sendall(answer(200, b"%d" % n))
+
+    with running(script, ops=True) as node, node.client() as client:
+        client.send(client.head("pay") + client.head("look"))  # and one that waits behind it, unread by nobody
+        wait_for(lambda: node.call("/stats")[1]["concurrent"] == 1)
+        first = node.second()
+        first.send_signal(signal.SIGTERM)
+        time.sleep(0.3)
+        assert first.poll() is None
+        hold.set()
+        assert [client.read().body for _ in range(2)] == [b"1", b"2"]
+        assert first.wait(PATIENCE) == 0
+        assert client.ask().status == 200  # by the second, on the same connection
+
+
+def test_a_chain_starts_while_the_first_still_has_a_request() -> None:
+    hold = threading.Event()
+
+    def script(sock: socket.socket, n: int) -> None:
+        if n == 1:
+            hold.wait(PATIENCE)
+        sock.sendall(answer())
+
+    with running(script, script, ops=True) as node, node.client() as client:
+        client.send(client.head("crew"))  # of which no second copy is sent
+        wait_for(lambda: node.call("/stats")[1]["concurrent"] == 1)
+        first = node.second()
+        first.send_signal(signal.SIGTERM)
+        second = node.second()
+        assert first.poll() is None
+        second.send_signal(signal.SIGTERM)
+        assert second.wait(PATIENCE) == 0
+        hold.set()
+        assert client.read().status == 200
+        assert first.wait(PATIENCE) == 0
+        assert client.ended() or client.ask().status == 200
+        with node.client() as new:
+            assert new.ask().status == 200
+
+
+def offered(node: Node) -> socket.socket:
+    """A stand-in for a second process, which has the offer."""
+    link = meeting.connect(place(node), PATIENCE)
+    meeting.send(link, Hello("n0"))
+    got = meeting.receive(link)
+    assert got is not None and isinstance(got[0], Offer)
+    meeting.close(got[1])
+    return link
+
+
+def test_a_second_process_that_dies_before_its_yes_changes_nothing(node: Node) -> None:
+    with node.client() as client:
+        assert client.ask().status == 200
+        offered(node).close()
+        wait_for(lambda: "second process is gone" in node.log.read_text())
+        assert client.ask().status == 200
+        assert node.call("/healthcheck")[0] == 200
+        node.upgrade()
+        assert client.ask().status == 200
+
+
+def test_a_second_process_that_dies_after_its_yes_leaves_the_first_serving_again(node: Node) -> None:
+    with node.client() as client:
+        assert client.ask().status == 200
+        link = offered(node)
+        meeting.send(link, Ready())
+        wait_for(lambda: node.call("/healthcheck")[1]["state"] == "handing over")
+        link.close()
+        wait_for(lambda: node.call("/healthcheck")[0] == 200)
+        assert node.health() == 200
+    with node.client() as new:
+        assert new.ask().status == 200
+        node.upgrade()  # and another can take over
+        assert new.ask().status == 200
+
+
+@pytest.mark.parametrize("packet", [b"what", b'{"v":9,"say":"hello","name":"n0"}', b'{"v":1,"say":"ready"}'])
+def test_a_stranger_at_the_meeting_place_is_cut_off(node: Node, packet: bytes) -> None:
+    link = meeting.connect(place(node), PATIENCE)
+    link.send(packet)
+    assert link.recv(100) == b""
+    link.close()
+    silent = meeting.connect(place(node), PATIENCE)  # says nothing: gone after a second
+    assert silent.recv(100) == b""
+    silent.close()
+    node.upgrade()
+    with node.client() as client:
+        assert client.ask().status == 200
+
+
+@pytest.mark.parametrize(("behaviour", "line"), [
+    ("silent", "no answer"), ("ends", "the other process has ended"), ("newer", "speaks version 2, not 1"),
+    ("no sockets", "came with 0 sockets"), ("no", "later"),
+])
+def test_a_process_that_can_not_hand_over_is_passed_by_with_one_line(node: Node, behaviour: str, line: str) -> None:
+    node.stop()
+    sock = meeting.bind(place(node))
+    sock.setblocking(True)
+    stopping = threading.Event()
+
+    def talk() -> None:
+        link, _ = sock.accept()
+        link.recv(4096)
+        if behaviour == "silent":
+            stopping.wait(PATIENCE)
+        elif behaviour == "newer":
+            link.send(b'{"v":2,"say":"offer"}')
+        elif behaviour == "no sockets":
+            link.send(b'{"v":1,"say":"offer","peers":false,"clients":0,"backends":0,"requests":0}')
+        elif behaviour == "no":
+            link.send(b'{"v":1,"say":"no","reason":"later"}')
+        link.close()
+
+    thread = threading.Thread(target=talk)
+    thread.start()
+    node.log.write_text("")
+    node.start()
+    stopping.set()
+    thread.join(PATIENCE)
+    sock.close()
+    lines = [text for text in node.log.read_text().splitlines() if text.startswith("hand-over")]
+    assert len(lines) == 1 and "starting alone" in lines[0] and line in lines[0]
+
+
+def test_the_socket_file_of_a_killed_process_is_no_hindrance(node: Node) -> None:
+    node.process.kill()
+    node.process.wait()
+    assert place(node).exists()
+    node.start()
+    assert "hand-over" not in node.log.read_text()
+    node.upgrade()
+    node.stop()
+    assert not place(node).exists()
+
+
+def test_beside_a_process_that_does_not_answer_the_second_still_takes_the_address(node: Node) -> None:
+    first = node.process
+    first.send_signal(signal.SIGSTOP)
+    try:
+        node.second()
+        assert "starting alone: no answer" in node.log.read_text()
+    finally:
+        first.kill()
+        first.wait()
+    with node.client() as client:
+        assert client.ask().status == 200
+
+
+def test_without_a_directory_of_its_own_there_is_no_meeting_place() -> None:
+    assert meeting.place({}, ("127.0.0.1", 80)) is None
+    long = Path("/tmp") / ("x" * 200)
+    long.mkdir(exist_ok=True)
+    try:
+        path = meeting.place({"TMPDIR": str(long)}, ("127.0.0.1", 80))
+        assert path is not None
+        sock = meeting.bind(path)  # beyond the 108 bytes of a socket's address
+        meeting.connect(path, PATIENCE).close()
+        sock.close()
+        path.unlink()
+    finally:
+        long.rmdir()
+
+
+def test_sigterm_alone_answers_what_runs_longer_than_the_end() -> None:
+    with running(lambda sock, n: time.sleep(PATIENCE), ops=True) as node, node.client() as client:
+        client.send(client.head("crew", budget="20000m"))
+        wait_for(lambda: node.call("/stats")[1]["concurrent"] == 1)
+        node.process.send_signal(signal.SIGTERM)
+        assert client.read().status == 504
+        assert node.process.wait(PATIENCE) == 0
+
+
--- /dev/null
+++ b/tests/handover/test_without_sockets.py
@@ -0,0 +1,86 @@
+"""What two processes say, who is where, and how they share: without sockets."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from headspar.handover import shares
+from headspar.handover.messages import (
+    VERSION,
+    Clients,
+    Held,
+    Hello,
+    Message,
+    MessageError,
+    No,
+    Offer,
+    Ready,
+    decode,
+    encode,
+)
+from headspar.handover.sides import Do, Giving, Taking, giver, taker
+
+EACH: list[tuple[Message, int]] = [
+    (Hello("n0"), 0), (Offer(True, 1, 2, 3), 3), (Offer(False, 1, 2, 3), 2), (Ready(), 0), (Clients(5), 5),
+    (Held(1, 2, 3), 0), (No("busy"), 0),
+]
+
+
+@pytest.mark.parametrize(("message", "sockets"), EACH)
+def test_a_message_comes_back_as_it_was_and_only_with_its_sockets(message: Message, sockets: int) -> None:
+    assert decode(encode(message), sockets) == message
+    with pytest.raises(MessageError, match="sockets"):
+        decode(encode(message), sockets + 1)
+
+
+@pytest.mark.parametrize("packet", [
+    b"", b"{", b"[]", b"7", b"{}", b'{"v":1}', b'{"v":1,"say":"jump"}', b'{"v":2,"say":"ready"}',
+    b'{"v":1,"say":"hello"}', b'{"v":1,"say":"hello","name":7}', b'{"v":1,"say":"held","clients":1,"backends":2}',
+    b'{"v":1,"say":"held","clients":-1,"backends":2,"requests":0}',
+    b'{"v":1,"say":"held","clients":true,"backends":2,"requests":0}',
+    b'{"v":1,"say":"clients","count":1e3}', b'{"v":1,"say":"clients","count":9999999}', b"\xff\xfe", b" " * 5000,
+])
+def test_what_can_not_be_used_raises_one_error(packet: bytes) -> None:
+    with pytest.raises(MessageError):
+        decode(packet, 0)
+
+
+def test_a_newer_version_is_told_as_such() -> None:
+    with pytest.raises(MessageError, match=f"version {VERSION + 1}, not {VERSION}"):
+        decode(json.dumps({"v": VERSION + 1, "say": "ready"}).encode(), 0)
+
+
+def test_the_way_of_a_whole_upgrade_and_that_nothing_else_is_allowed() -> None:
+    state, do = giver(Giving.ALONE, Hello("n0"))
+    assert (state, do) == (Giving.OFFERED, Do.OFFER)
+    assert giver(state, Ready()) == (Giving.SUCCEEDED, Do.HAND_OVER)
+    assert taker(Taking.ASKED, Offer(False, 0, 0, 0)) == (Taking.TAKEN, Do.TAKE)
+    assert taker(Taking.SERVING, Clients(1)) == (Taking.SERVING, Do.ADOPT)
+    allowed = {(Giving.ALONE, Hello), (Giving.OFFERED, Ready)}
+    for here in Giving:
+        for message, _ in EACH:
+            if (here, type(message)) not in allowed:
+                assert giver(here, message) == (Giving.ALONE, Do.STOP)
+    for there in (Taking.ASKED, Taking.TAKEN):
+        for early in (Clients(1), Held(1, 1, 1), Ready(), Hello("x")):
+            assert taker(there, early)[1] is Do.STOP
+
+
+@pytest.mark.parametrize("sockets", [256, 384, 1024])
+def test_two_processes_never_hold_more_than_one_may(sockets: int) -> None:
+    alone = shares.whole(sockets, 16, 1000)
+    for clients in (0, 10, alone.clients):
+        for backends in (0, 10, alone.backends):
+            first = shares.offered(alone)
+            other = shares.second(alone, Held(clients, backends, 400))
+            held = 2 * shares.OWN_FILES + clients + backends + first.spare + first.callers
+            held += other.clients + other.backends + other.spare + other.callers + 2
+            assert held <= sockets + 2 * shares.LEAST
+            assert other.requests == 600
+
+
+def test_a_second_process_always_has_some_room() -> None:
+    other = shares.second(shares.whole(256, 16, 100), Held(10_000, 10_000, 10_000))
+    assert min(other.clients, other.backends, other.callers, other.requests) >= 1
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -274,7 +274,7 @@
         path.write_text(json.dumps(config))
         self.env = dict(
             os.environ, ROUTER_NAME="n0", ROUTER_LISTEN=text(self.address),
-            ROUTER_DISCOVERY=text(self.discovery.address), ROUTER_CONFIG=str(path),
+            ROUTER_DISCOVERY=text(self.discovery.address), ROUTER_CONFIG=str(path), TMPDIR=self.dir.name,
         )
         self.ops = free_address() if ops else None
         if self.ops is not None:
@@ -310,6 +310,28 @@
     def client(self) -> Client:
         return Client(self.address)
 
+    def second(self) -> subprocess.Popen[bytes]:
+        """A second process beside the first, which is returned, with operators elsewhere; waits for its yes."""
+        first = self.process
+        self.ops = free_address()
+        self.env["ROUTER_OPS"] = text(self.ops)
+        self.start(healthy=False)
+        wait_for(self.says_yes)
+        return first
+
+    def says_yes(self) -> bool:
+        assert self.process.poll() is None, self.log.read_text()
+        try:
+            return self.call("/healthcheck")[0] == 200
+        except OSError:
+            return False
+
+    def upgrade(self) -> None:
+        """An upgrade as the platform does it."""
+        first = self.second()
+        first.send_signal(signal.SIGTERM)
+        assert first.wait(PATIENCE) == 0
+
     def rss_mb(self) -> float:
         status = Path(f"/proc/{self.process.pid}/status").read_text()
         return next(int(line.split()[1]) for line in status.splitlines() if line.startswith("VmRSS")) / 1024
--- a/tests/operations/test_calls_on_sockets.py
+++ b/tests/operations/test_calls_on_sockets.py
@@ -53,7 +53,7 @@
                 sock.sendall(b"GET /healthcheck HTTP/1.1\r\nHo")
         assert node.call("/healthcheck")[0] == 200
         assert node.call("/stats")[0] == 200
-        assert node.files() <= before + 26
+        assert node.files() <= before + 18
         with node.client() as client:
             assert client.ask().status == 200
 
--- a/tests/operations/test_states_and_figures.py
+++ b/tests/operations/test_states_and_figures.py
@@ -29,7 +29,9 @@
     ((Cause.STARTED, Cause.SUCCEEDED), State.HANDING_OVER, False, False),
     ((Cause.STARTED, Cause.FAIL, Cause.SUCCEEDED), State.HANDING_OVER, False, False),
     ((Cause.STARTED, Cause.SUCCEEDED, Cause.ALONE), State.READY, True, False),
+    ((Cause.STARTED, Cause.SUCCEEDED, Cause.TERM), State.LEAVING, False, False),
     ((Cause.STARTED, Cause.SUCCEEDED, Cause.TERM, Cause.ALONE), State.ENDING, False, True),
+    ((Cause.STARTED, Cause.TERM, Cause.SUCCEEDED), State.LEAVING, False, False),
     ((Cause.STARTED, Cause.FAIL, Cause.TERM, Cause.OK), State.ENDING, False, True),
     ((Cause.TERM,), State.ENDING, False, True),
 ])
@@ -46,8 +48,8 @@
             lifecycle = Lifecycle()
             lifecycle.state = state
             lifecycle.move(cause)
-            if state is State.ENDING or cause is Cause.TERM:
-                assert lifecycle.state is State.ENDING
+            if state in (State.ENDING, State.LEAVING) or cause is Cause.TERM:
+                assert lifecycle.ending
             assert lifecycle.state is not State.STARTING or state is State.STARTING
 
 
