Take new settings at SIGHUP whole or not at all, and change every reader in one step

Cause: a reload took discovery's address alone, so classes that had come with it were handled as unknown. Change: SettingsChanged to the module, which keeps K, speeds, health and what it learned of classes; requests under way keep class, effect and attempts; operations/reload.py finds keys that the file in force has; numbers are checked as numbers; intake takes a class's former form for 2 s if it became stricter.

--- a/headspar/config.py
+++ b/headspar/config.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from headspar.interface import Settings
+from headspar.operations.reload import shape
 from headspar.operator_file import Operator, OperatorError, load
 from headspar.settings import SettingsError, read_settings
 
@@ -36,6 +37,7 @@
     ops: Address | None  # the operators' listener
     settings: Settings
     operator: Operator
+    shape: dict[str, frozenset[str]]  # which keys the file holds
 
 
 def parse_address(text: object, field: str) -> Address:
@@ -122,4 +124,5 @@
         ops=parse_address(ops, "ROUTER_OPS or ops") if ops else None,
         settings=settings,
         operator=_operator(environ),
+        shape=shape(raw),
     )
--- a/headspar/connections/idle_time.py
+++ b/headspar/connections/idle_time.py
@@ -37,6 +37,11 @@
     def __init__(self, buckets: int, now: int) -> None:
         self.broke, self.good, self.at = [0.0] * buckets, [0.0] * buckets, now
 
+    def widen(self, buckets: int) -> None:
+        """At least so many buckets; what was seen stays."""
+        for row in (self.broke, self.good):
+            row.extend([0.0] * (buckets - len(row)))
+
     def fade(self, now: int) -> None:
         if now - self.at >= 1_000_000:
             keep = exp((self.at - now) / MEMORY_US)
@@ -61,6 +66,13 @@
         self.own: Evidence | None = None
         self.limit_us = self._limit()
 
+    def tell(self, told_us: int) -> None:
+        """The longest that it can be has changed; the pool has been widened."""
+        self.told_us = told_us
+        if self.own is not None:
+            self.own.widen(len(self.pool.broke))
+        self.limit_us = self._limit()
+
     def ended(self, idle_us: int) -> None:
         """A connection was closed by the server, or broke as it was used again, after so long idle."""
         k = min(len(self.pool.broke) - 1, bucket(idle_us))
--- a/headspar/connections/plan.py
+++ b/headspar/connections/plan.py
@@ -234,6 +234,16 @@
         if s is not None:
             s.warm = min(1.0, max(0.01, share))
 
+    def change(self, idle_us: int, nodes: int) -> None:
+        """Servers are told to keep idle connections so long now, and so many nodes connect to one."""
+        if (idle_us, nodes) == (self.settings.idle_us, self.settings.nodes):
+            return
+        self.settings = replace(self.settings, idle_us=idle_us, nodes=nodes)
+        self.evidence.widen(bucket(idle_us) + 1)
+        for s in self.servers.values():
+            s.idle_time.tell(idle_us)
+            self._shorten(s)
+
     def limit(self, most: int) -> list[int]:
         """From now on at most so many connections; idle ones beyond that, to be closed, the longest idle first."""
         self.settings = replace(self.settings, most=most)
--- a/headspar/connections/subset.py
+++ b/headspar/connections/subset.py
@@ -99,8 +99,7 @@
     """The reach of one node."""
 
     def __init__(self, settings: SubsetSettings) -> None:
-        self.settings = settings
-        self.place = ring_place(settings.node, settings.nodes)
+        self.change(settings)
         self.zones: dict[str, list[str]] = {}  # the servers of each in the order that all nodes share
         self.members: dict[str, Member] = {}
         self.keys: dict[str, tuple[bytes, bytes]] = {}
@@ -112,6 +111,11 @@
         self.entering: list[str] = []  # still to be exchanged, one each ``swap_us``
         self.leaving: list[str] = []
 
+    def change(self, settings: SubsetSettings) -> None:
+        """Another place among the nodes, or other limits: the next ``update`` or ``tick`` goes by them."""
+        self.settings = settings
+        self.place = ring_place(settings.node, settings.nodes)
+
     def update(self, members: Iterable[Member], now: int) -> Change:
         """The list of servers has changed; what this does to the reach at once."""
         self.members = {m.id: m for m in members}
--- a/headspar/decide.py
+++ b/headspar/decide.py
@@ -62,6 +62,7 @@
     Send,
     SetTimer,
     Settings,
+    SettingsChanged,
     StreamStarted,
     TellPeers,
     TimerFired,
@@ -198,10 +199,11 @@
 class Request:
     """A request that this node owes an answer."""
 
-    __slots__ = ("id", "cls", "cost", "arrived", "deadline", "attempts", "expect", "streaming", "key")
+    __slots__ = ("id", "cls", "cost", "arrived", "deadline", "limit", "attempts", "expect", "streaming", "key")
 
-    def __init__(self, id: str, cls: ClassState, cost: int, arrived: int, deadline: int) -> None:
+    def __init__(self, id: str, cls: ClassState, cost: int, arrived: int, deadline: int, limit: int) -> None:
         self.id, self.cls, self.cost, self.arrived, self.deadline = id, cls, cost, arrived, deadline
+        self.limit = limit  # of attempts
         self.attempts: list[Attempt] = []
         self.expect = cls.base + cls.slope * cost
         self.streaming = False
@@ -490,7 +492,7 @@
         s, spec = self.settings, r.cls.spec
         return [
             b for b in self.pool
-            if may_send(spec, r.attempts, b.zone, b.cell, now, s.max_attempts, s.second_copies)
+            if may_send(spec, r.attempts, b.zone, b.cell, now, r.limit, s.second_copies)
         ]
 
     def pick(self, r: Request, now: int, trial: bool) -> Backend | None:
@@ -552,6 +554,20 @@
         self.tenants = {t.name: [t.quota_rps / settings.balancers, 0.0, -1.0] for t in settings.tenants}
         self.refused = 0
 
+    def change(self, settings: Settings) -> None:
+        """New settings: classes and tenants that stay keep their figures."""
+        before, half = self.index, len(self.settings.classes)
+        smooth, work, pa, tenants = self.smooth, self.smooth_work, self.pa, self.tenants
+        self.__init__(settings, self.rng)  # type: ignore[misc]
+        for name, i in self.index.items():
+            j = before.get(name)
+            for to, at in ((i, j), (i + len(settings.classes), None if j is None else j + half)):
+                if at is not None:
+                    self.smooth[to], self.smooth_work[to], self.pa[to] = smooth[at], work[at], pa[at]
+        for name, t in self.tenants.items():
+            if name in tenants:
+                t[1:] = tenants[name][1:]
+
     def over_share(self, tenant: str | None, now: int) -> bool:
         """Whether a request is beyond this node's part of its tenant's quota: a bucket of two seconds."""
         t = self.tenants.get(tenant) if tenant is not None else None
@@ -694,6 +710,7 @@
         self.late: dict[str, Request] = {}  # over, with attempts still out
         self.costliest = cost_class(1000)
         self.retries = 10.0
+        self.reach = 1.0  # the share of the backends that this node may send to
         self.checks: list[tuple[int, int, Request]] = []
         self.serial = 0
         self.tick_at: int | None = None
@@ -712,6 +729,7 @@
             TimerFired: self._timer,
             ProbeEnded: self._nothing,
             PeerMessage: self.peers.hear,
+            SettingsChanged: self._settings_changed,
         }
 
     def handle(self, now_us: int, events: list[Event]) -> list[Action]:
@@ -792,7 +810,7 @@
             self.repeats += 1
         else:
             self.firsts += 1
-        r = Request(e.id, cls, cost, now, e.deadline_us)
+        r = Request(e.id, cls, cost, now, e.deadline_us, self.settings.max_attempts)
         self.capacity.offered_work += cost
         a = self.admission
         index = cls.index
@@ -830,7 +848,7 @@
         self.attempts += 1
         self.capacity.send(b, r.cost)
         self.actions.append(Send(r.id, b.id))
-        if r.cls.repeatable and len(r.attempts) < self.settings.max_attempts:
+        if r.cls.repeatable and len(r.attempts) < r.limit:
             wait = (1.5 if b.health < 0.6 else OVERDUE) * r.expect
             self._later(r, min(now + int(wait), r.deadline))
 
@@ -958,11 +976,35 @@
         if r is not None:
             self._over(r)
 
+    def _settings_changed(self, e: SettingsChanged, now: int) -> None:
+        """What was learned of backends, K and classes that stay is kept; requests under way hold on to the class
+        that they came under."""
+        s = self.settings = e.settings
+        self.capacity.settings = self.picker.settings = self.membership.settings = s
+        self.admission.change(s)
+        self.peers.count = s.balancers - 1 if s.may_tell_peers else 0
+        self.capacity.senders = max(1.0, s.balancers * self.reach)
+        self.membership.wants = s.must_subscribe
+        self.classes = [self._class(spec, i) for i, spec in enumerate(s.classes)]
+        self.by_name = {c.spec.name: c for c in self.classes}
+
+    def _class(self, spec: RequestClass, index: int) -> ClassState:
+        before = self.by_name.get(spec.name)
+        if before is not None and before.spec == spec:
+            before.index = index
+            return before
+        state = ClassState(spec, index)
+        if before is not None:
+            for name in ("count", "m_lat", "m_cost", "v_cost", "cov", "base", "slope"):
+                setattr(state, name, getattr(before, name))
+        return state
+
     def _list(self, e: BackendList, now: int) -> None:
         fresh = self.membership.take(e, now)
         c = self.capacity
         if e.kind is ListKind.FAILED:
             return
+        self.reach = e.reach
         c.senders = max(1.0, self.settings.balancers * e.reach)
         self.peers.by_hash = {b.tag: b for b in self.membership.backends.values()}
         for b in self.membership.backends.values():
--- a/headspar/interface.py
+++ b/headspar/interface.py
@@ -124,6 +124,8 @@
     def __post_init__(self) -> None:
         if not self.classes:
             raise ValueError("classes: at least one request class is needed")
+        if len({cls.name for cls in self.classes}) < len(self.classes):
+            raise ValueError("classes: a name comes twice")
         for cls in self.classes:
             if cls.aim_us <= 0 or cls.deadline_us <= 0:
                 raise ValueError(f"classes[{cls.name}]: aim_us and deadline_us must be above 0")
@@ -145,6 +147,9 @@
         ):
             if getattr(self, name) <= 0:
                 raise ValueError(f"{name}: must be above 0")
+        for name in ("answer_slack_us", "drain_grace_us", "max_retry_after_us"):
+            if getattr(self, name) < 0:
+                raise ValueError(f"{name}: must not be negative")
         if self.fall_multiple <= 0:
             raise ValueError("fall_multiple: must be above 0")
 
@@ -246,6 +251,13 @@
     report: dict[str, float] | None = None
 
 
+@dataclass(slots=True)
+class SettingsChanged:
+    """The settings from now on; requests under way keep their class, its effect and their number of attempts."""
+
+    settings: Settings
+
+
 @dataclass(slots=True)
 class PeerMessage:
     """Bytes from another node."""
@@ -255,7 +267,8 @@
 
 
 Event = Union[
-    RequestArrived, StreamStarted, AttemptEnded, ClientGone, TimerFired, BackendList, ProbeEnded, PeerMessage
+    RequestArrived, StreamStarted, AttemptEnded, ClientGone, TimerFired, BackendList, ProbeEnded, PeerMessage,
+    SettingsChanged,
 ]
 
 
--- a/headspar/node/backends.py
+++ b/headspar/node/backends.py
@@ -313,10 +313,14 @@
         self.young: set[Host] = set()  # those that may be cold
         self.connections: dict[int, Connection] = {}  # by the plan's numbers
         self.tasks: set[asyncio.Task[None]] = set()
-        settings = node.settings
+        self.plan = Plan(plan_settings(file, node.settings, most), node.settings.me)
+        self.change(node.settings)
+
+    def change(self, settings: Settings) -> None:
+        """New settings; connections that stand idle are judged by the new idle time from now on."""
         self.connect_timeout = settings.connect_timeout_us / 1e6
         self.repeatable = {c.name for c in settings.classes if c.effect is Effect.RETRYABLE}
-        self.plan = Plan(plan_settings(file, settings, most), settings.me)
+        self.plan.change(settings.idle_close_us, settings.balancers)
 
     def place(self, id: str, address: Address, started_at: int) -> None:
         host = self.hosts.get(id)
@@ -351,7 +355,7 @@
         self._take(host, attempt, now_us())
 
     def _take(self, host: Host, attempt: Attempt, now: int) -> None:
-        proof = attempt.request.cls not in self.repeatable
+        proof = attempt.request.proof
         while True:
             told = self.plan.take(host.id, now, proof=proof)
             if told.close:
--- a/headspar/node/clients.py
+++ b/headspar/node/clients.py
@@ -267,7 +267,7 @@
         r.hint_us = read_hint(get(b"x-call-cost"))
         r.is_repeat = get(b"x-again") == b"1"
         key = get(b"idempotency-key")
-        objection = self.server.intake.objection(r.cls, bool(key), method == b"POST")
+        objection = self.server.intake.objection(r.cls, bool(key), method == b"POST", now_us())
         if objection is not None:
             self.node.log(f"client: {call_id[:60]!r} of class {r.cls[:60]!r}: {objection}")
             return 400
--- a/headspar/node/core.py
+++ b/headspar/node/core.py
@@ -30,6 +30,8 @@
     RequestArrived,
     Send,
     SetTimer,
+    Settings,
+    SettingsChanged,
     StreamStarted,
     TellPeers,
     TimerFired,
@@ -63,7 +65,7 @@
     __slots__ = (
         "key", "client", "head", "call_id", "cls", "tenant", "target_key", "budget_us", "hint_us",
         "is_repeat", "extra", "body", "size", "deadline", "live", "attempts", "out", "stream",
-        "left",
+        "left", "limit", "proof",
     )
 
     def __init__(self, client: Client) -> None:
@@ -83,6 +85,8 @@
         self.deadline = 0
         self.live = False
         self.left = False  # the client went away before it had one
+        self.limit = 0  # of attempts, as it was when it came
+        self.proof = True  # whether it may go only over connections proven alive, by its class as it was
         self.attempts: list[Attempt] = []
         self.out = 0
         self.stream: Attempt | None = None
@@ -193,6 +197,8 @@
         r.key = str(self.serial)
         r.deadline = now + r.budget_us
         r.live = True
+        r.limit = self.settings.max_attempts
+        r.proof = r.cls not in self.backends.repeatable
         self.requests[r.key] = r
         self._at(r.deadline, DEADLINE, 0, r.key)
         self.post(
@@ -296,7 +302,7 @@
         attempt = Attempt(r, len(r.attempts), action.backend, now)
         r.attempts.append(attempt)
         r.out += 1
-        if not r.live or now >= r.deadline or attempt.number >= self.settings.max_attempts:
+        if not r.live or now >= r.deadline or attempt.number >= r.limit:
             self.end(attempt, Outcome.MOOT)
             return
         if action.stop_at_us and action.stop_at_us < r.deadline:
@@ -328,7 +334,7 @@
         self.discovery.watch(action.enable)
 
     def _tell(self, action: TellPeers, now: int) -> None:
-        if self.peers is not None:
+        if self.peers is not None and self.settings.may_tell_peers:
             self.peers.tell(action.data)
 
     def _log(self, action: Log, now: int) -> None:
@@ -392,6 +398,17 @@
                 self.answer(r, 504)
                 self.post(ClientGone(r.key))
 
+    # ------------------------------------------------------------ settings
+
+    def change(self, settings: Settings) -> None:
+        """New settings, all in this turn of the loop; what is under way stays as it came."""
+        self.settings = settings
+        self.ledger.name(c.name for c in settings.classes)
+        self.backends.change(settings)
+        self.reach.change(settings)
+        self.discovery.change(settings)
+        self.post(SettingsChanged(settings))
+
     # ------------------------------------------------------------ from the other parts
 
     def told(self, event: BackendList) -> None:
--- a/headspar/node/discovery.py
+++ b/headspar/node/discovery.py
@@ -16,7 +16,7 @@
 import httptools
 
 from headspar.config import Address, ConfigError, parse_address
-from headspar.interface import BackendEntry, BackendList, Health, ListKind
+from headspar.interface import BackendEntry, BackendList, Health, ListKind, Settings
 from headspar.node.backends import Backends
 from headspar.node.core import Node, now_us
 
@@ -89,13 +89,8 @@
 
     def __init__(self, node: Node, backends: Backends, address: Address) -> None:
         self.node, self.backends, self.address = node, backends, address
-        self.asked = node.settings.must_subscribe
-        rules = node.settings
-        self.longest_us = min(60_000_000, rules.ask_every_us)
-        self.shortest_us = max(
-            1_000_000, min(self.longest_us, TOLD_US + rules.drain_grace_us - PATIENCE_US - ANEW_US)
-        )
-        self.wait_us = self.shortest_us
+        self.wait_us = 0
+        self.change(node.settings)
         self.resumed = False  # the call that is out stands in for one that went silent
         self.generation = 0
         self.watching = False
@@ -106,6 +101,15 @@
         self.timer: asyncio.TimerHandle | None = None
         self.offset_us = now_us() - time.time_ns() // 1000
 
+    def change(self, rules: Settings) -> None:
+        """How long calls wait, and whether discovery is asked or its agent pushes, from the next call on."""
+        self.asked = rules.must_subscribe
+        self.longest_us = min(60_000_000, rules.ask_every_us)
+        self.shortest_us = max(
+            1_000_000, min(self.longest_us, TOLD_US + rules.drain_grace_us - PATIENCE_US - ANEW_US)
+        )
+        self.wait_us = min(self.longest_us, max(self.wait_us, self.shortest_us))
+
     def start(self, known: dict[str, Any]) -> None:
         try:
             self._apply(known, ListKind.CACHED)
--- a/headspar/node/reach.py
+++ b/headspar/node/reach.py
@@ -9,7 +9,7 @@
 from dataclasses import replace
 
 from headspar.connections.subset import Change, Member, Subset
-from headspar.interface import BackendEntry, BackendList, Health, ListKind
+from headspar.interface import BackendEntry, BackendList, Health, ListKind, Settings
 
 
 class Reach:
@@ -21,6 +21,11 @@
         self.ready: dict[str, Member] = {}
         self.version = 0
 
+    def change(self, settings: Settings) -> None:
+        """The node's number, or that of all, is another; its window moves as the next change of the list or
+        step of the reach finds it."""
+        self.subset.change(replace(self.subset.settings, node=settings.me, nodes=settings.balancers))
+
     def told(self, event: BackendList, now: int) -> tuple[BackendList, list[str]]:
         """What the module is told instead, and the backends that are out of reach from now on."""
         if event.kind is ListKind.FAILED:
--- a/headspar/process.py
+++ b/headspar/process.py
@@ -9,6 +9,7 @@
 import socket
 import sys
 from collections.abc import Coroutine
+from dataclasses import replace
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -17,6 +18,7 @@
 from headspar.handover import meeting, shares
 from headspar.handover.giver import Giver
 from headspar.handover.messages import Held, Offer
+from headspar.handover.sides import Giving
 from headspar.handover.taker import Taken, Taker
 from headspar.node.backends import Backends, Budget
 from headspar.node.clients import Client, Server
@@ -27,6 +29,7 @@
 from headspar.operations import listener as operators
 from headspar.operations.calls import Calls
 from headspar.operations.lifecycle import Cause, State
+from headspar.operations.reload import missing
 
 if TYPE_CHECKING:
     from headspar.recorder.file import Recorder
@@ -96,6 +99,10 @@
     async def start(self) -> None:
         """Serve: on the sockets of the process before this one where it has offered them."""
         config, node, loop, taken = self.config, self.node, self.loop, self.taken
+        loop.add_signal_handler(signal.SIGTERM, self.stopping.set)
+        loop.add_signal_handler(signal.SIGINT, self.stopping.set)
+        # Without a handler SIGHUP ends the process, and with it all requests that it has taken.
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
         self.socket = taken.listener if taken else bound(config.listen)
         if config.peer_listen and config.peers_all and config.settings.may_tell_peers:
             self.peers_socket = taken.peers if taken and taken.peers else bound(config.peer_listen, socket.SOCK_DGRAM)
@@ -117,10 +124,6 @@
                 self.server.on_idle = self.giver.changed
             except OSError as error:
                 node.log(f"hand-over: no upgrades without loss from here: {path}: {error.strerror}")
-        loop.add_signal_handler(signal.SIGTERM, self.stopping.set)
-        loop.add_signal_handler(signal.SIGINT, self.stopping.set)
-        # Without a handler SIGHUP ends the process, and with it all requests that it has taken.
-        loop.add_signal_handler(signal.SIGHUP, reload, node)
         self._sweep()
         self._tend()
         gc.collect()
@@ -149,6 +152,34 @@
         self.node.backends.tend(now_us())
         self.loop.call_later(TEND_S, self._tend)
 
+    # ------------------------------------------------------------ SIGHUP
+
+    def reload(self) -> None:
+        """The configuration has been replaced: its settings and discovery's address hold from now on, all else
+        from the next start.  With one that is no good all stays as it is."""
+        node = self.node
+        try:
+            config = load_config(os.environ)
+            lost = missing(self.config.shape, config.shape)
+            if lost is not None:
+                raise ConfigError(f"{lost}: the configuration in force has it, the new one lacks it")
+        except ConfigError as error:
+            node.ledger.reload_failure += 1
+            print(f"headspar: reload: nothing taken: {error}", file=sys.stderr, flush=True)
+            return
+        node.ledger.reload_success += 1
+        self.config = config
+        settings = config.settings
+        if settings != node.settings:
+            node.change(settings)
+            self.server.intake.change(settings, now_us())
+            self.alone_share = replace(self.alone_share, requests=settings.most_held)
+            if self.giver is None or self.giver.state is Giving.ALONE:
+                node.most_held = settings.most_held
+            names = ", ".join(c.name for c in settings.classes)
+            print(f"headspar: reload: new settings; classes {names}", file=sys.stderr, flush=True)
+        node.discovery.move(config.discovery)
+
     # ------------------------------------------------------------ beside a second process
 
     def _share(self, part: shares.Shares) -> None:
@@ -270,17 +301,6 @@
         raise ConfigError(f"recorder.file: {path}: {error.strerror}") from None
 
 
-def reload(node: Node) -> None:
-    """SIGHUP: the configuration has been replaced.  Discovery's new address holds from now on, all else from
-    the next start; with a configuration that is no good the node stays as it is."""
-    try:
-        config = load_config(os.environ)
-    except ConfigError as error:
-        print(f"headspar: {error}", file=sys.stderr, flush=True)
-        return
-    node.discovery.move(config.discovery)
-
-
 async def serve(config: Config, taken: Taken | None) -> None:
     """One node, until SIGTERM and what follows it."""
     process = Process(config, taken, asyncio.get_running_loop())
--- a/headspar/settings.py
+++ b/headspar/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from math import isfinite
 from typing import Any
 
 from headspar.interface import Effect, Group, RequestClass, Settings, Tenant
@@ -12,6 +13,14 @@
     """A settings object that lacks a key or holds an impossible value; the text names it."""
 
 
+def number(raw: Any, name: str, default: float | None = None) -> float:
+    """A finite number at ``name``; the default where it is missing, null or 0 and there is one."""
+    value = raw[name] if default is None else raw.get(name) or default
+    if isinstance(value, bool) or not isinstance(value, int | float) or not isfinite(value):
+        raise SettingsError(f"settings: {name}: needs a number, not {value!r}")
+    return value
+
+
 def parse_settings(text: str) -> Settings:
     """Read the settings from JSON; keys that are unknown are passed over."""
     try:
@@ -29,52 +38,52 @@
         classes = [
             RequestClass(
                 name=c["name"],
-                aim_us=int(c["aim_us"]),
-                deadline_us=int(c["give_up_us"]),
-                worth=float(c.get("worth", 1.0)),
-                late_worth=float(c.get("late_worth", 0.0)),
+                aim_us=int(number(c, "aim_us")),
+                deadline_us=int(number(c, "give_up_us")),
+                worth=number({"worth": 1.0, **c}, "worth"),
+                late_worth=number(c, "late_worth", 0.0),
                 effect=Effect(c["effect"]),
                 group=Group(c.get("group") or "all"),
-                window_us=int(c.get("window_us") or 0),
+                window_us=int(number(c, "window_us", 0)),
                 stream=bool(c.get("stream", False)),
-                aim_stretch=float(c.get("aim_stretch", 0.0)),
+                aim_stretch=number(c, "aim_stretch", 0.0),
             )
             for c in raw["classes"]
         ]
         return Settings(
             classes=classes,
-            me=int(raw["me"]),
-            balancers=int(raw["balancers"]),
+            me=int(number(raw, "me")),
+            balancers=int(number(raw, "balancers")),
             zone=raw.get("az", ""),
             tenants=[
-                Tenant(t["name"], float(t.get("quota_rps", 0.0)), float(t.get("share", 0.0)))
+                Tenant(t["name"], number(t, "quota_rps", 0.0), number(t, "share", 0.0))
                 for t in raw.get("customers") or []
             ],
-            over_share_worth=float(raw.get("over_share_worth", 1.0)),
+            over_share_worth=number({"over_share_worth": 1.0, **raw}, "over_share_worth"),
             worth_by_work=raw.get("counted_by") == "work",
             must_subscribe=raw.get("registry_mode") == "subscribe",
             warm_keys=bool((raw.get("family_info") or {}).get("warm_keys", False)),
             worst_class_weight=float((raw.get("result_mix") or {}).get("worst_class", 0.0)),
             cross_zone_price=float((raw.get("prices") or {}).get("cross_zone", 0.0)),
             report_fields=tuple((raw.get("telemetry") or {}).get("fields") or ()),
-            quantum_us=int(raw.get("quantum_us", 1000)),
-            answer_slack_us=int(rules["answer_slack_us"]),
-            drain_grace_us=int(rules["drain_grace_us"]),
-            ask_every_us=int(rules.get("ask_every_us") or 10_000_000),
-            cold_share=float(rules["cold_share"]),
-            ramp_us=int(rules["ramp_time_us"]),
-            fall_multiple=float(rules["fall_multiple"]),
-            fall_us=int(rules["fall_us"]),
-            max_attempts=int(limits["try_limit"]),
+            quantum_us=int(number({"quantum_us": 1000, **raw}, "quantum_us")),
+            answer_slack_us=int(number(rules, "answer_slack_us")),
+            drain_grace_us=int(number(rules, "drain_grace_us")),
+            ask_every_us=int(number(rules, "ask_every_us", 10_000_000)),
+            cold_share=number(rules, "cold_share"),
+            ramp_us=int(number(rules, "ramp_time_us")),
+            fall_multiple=number(rules, "fall_multiple"),
+            fall_us=int(number(rules, "fall_us")),
+            max_attempts=int(number(limits, "try_limit")),
             may_cancel=bool(limits.get("cancel", False)),
             may_probe=bool(limits.get("probes", False)),
             may_tell_peers=bool(limits.get("may_tell", False)),
             second_copies=bool(limits.get("second_copies", False)),
             retry_after=bool(limits.get("retry_after", False)),
-            max_retry_after_us=int(limits.get("max_retry_after_us") or 0),
-            connect_timeout_us=int(limits.get("connect_timeout_us") or 250_000),
-            idle_close_us=int(limits.get("idle_close_us") or 15_000_000),
-            most_held=int(limits.get("most_held") or 20_000),
+            max_retry_after_us=int(number(limits, "max_retry_after_us", 0)),
+            connect_timeout_us=int(number(limits, "connect_timeout_us", 250_000)),
+            idle_close_us=int(number(limits, "idle_close_us", 15_000_000)),
+            most_held=int(number(limits, "most_held", 20_000)),
         )
     except KeyError as error:
         raise SettingsError(f"settings: missing key {error}") from error
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -339,6 +339,18 @@
     def files(self) -> int:
         return len(os.listdir(f"/proc/{self.process.pid}/fd"))
 
+    def configuration(self) -> dict[str, Any]:
+        config: dict[str, Any] = json.loads(Path(self.env["ROUTER_CONFIG"]).read_text())
+        return config
+
+    def reconfigure(self, config: dict[str, Any] | str) -> None:
+        """Replace the configuration in one step and say so."""
+        path = Path(self.env["ROUTER_CONFIG"])
+        new = path.with_suffix(".new")
+        new.write_text(config if isinstance(config, str) else json.dumps(config))
+        new.rename(path)
+        self.process.send_signal(signal.SIGHUP)
+
     def reload(self, discovery: tuple[str, int]) -> None:
         """Replace the configuration by one that names another address of discovery."""
         path = Path(self.env["ROUTER_CONFIG"])
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -56,7 +56,7 @@
 
 
 def request(cls: RequestClass = LOOK, cost: int = 20480) -> Request:
-    return Request("r", ClassState(cls, 0), cost, 0, 2_000_000)
+    return Request("r", ClassState(cls, 0), cost, 0, 2_000_000, 3)
 
 
 def test_pick_takes_the_largest_available_capacity() -> None:
