Let cold servers do their part when capacity is short, also for a node that has just started

Change: the gate takes the larger of the steady rate and the served one, and goes from half to all of a cold server's part as ACC falls.

--- a/headspar/decide.py
+++ b/headspar/decide.py
@@ -468,8 +468,13 @@
         warm = self.settings.warm_share(b.started_at, now)
         if warm >= 1.0:
             return True
-        per_unit = c.steady if c.steady > 0.0 else c.work_rate / len(self.pool)
-        rate = COLD_SAFETY * warm * per_unit
+        # A node that started a moment ago has a steady rate still on its way up; with that alone, nodes that come
+        # back together starve the cold servers and push the warm ones over.
+        per_unit = max(c.steady, c.served_rate / c.capacity_sum)
+        if per_unit <= 0.0:
+            per_unit = c.work_rate / len(self.pool)
+        # Gentle while there is plenty; where capacity is short a cold server does its part like a warm one.
+        rate = (1.0 - (1.0 - COLD_SAFETY) * c.acc) * warm * per_unit
         fall = self.settings.fall_us
         elapsed = min(fall, now - b.asked_at) if b.asked_at >= 0 else self.rng.random() * fall
         b.asked_at = now
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -293,3 +293,26 @@
         b.out = 1600  # past HOME_MARGIN of Nm_i
     other = pools[0].pick(r, 0, False)
     assert other is not None and other not in pools[0].homes("account-7")
+
+
+def test_a_cold_backend_does_its_part_when_capacity_is_short_and_for_a_node_that_has_just_started() -> None:
+    """Sent to a backend at half its warmth, over 200 s and 40 ms apart, in us of work a second."""
+
+    def sent(steady: float, served_rate: float, acc: float) -> float:
+        s = settings(ramp_us=20_000_000, cold_share=0.2)
+        c = Capacity(s)
+        c.capacity_sum, c.steady, c.served_rate, c.acc = 10.0, steady, served_rate, acc
+        p = Picker(s, c, random.Random(3))
+        b = Backend(entry(1, started=1))
+        p.set_pool([b])
+        now, work = 7_500_000, 0
+        for _ in range(5000):
+            b.asked_at, b.started_at = now - 40_000, now - 7_500_000
+            work += 2000 * p.gate(b, 2000, now)
+            now += 40_000
+        return work / 200
+
+    half = 0.5 * 80_000  # of its part, in what a warm one gets
+    assert abs(sent(80_000, 0.0, 1.0) - 0.5 * half) < 0.1 * half
+    assert abs(sent(80_000, 0.0, 0.0) - half) < 0.1 * half
+    assert abs(sent(1_000, 800_000, 0.0) - half) < 0.1 * half
