Let a second process go on from what the first has learned of its servers

Cause: in an upgrade the second process learned anew what the fleet can carry, and refused while it did (15% in five seconds of a release). Change: Experience and Recalled between module and host; handover/beliefs.py, checked and bounded, with discovery's list as last told and what the plan of connections learned; the successor watches discovery within 0.5 s. A test found that a yes could come before the module had heard its list; it settles first.

--- a/headspar/connections/plan.py
+++ b/headspar/connections/plan.py
@@ -97,6 +97,17 @@
             raise ValueError("age_jitter: must lie in 0 .. 1")
 
 
+@dataclass(slots=True)
+class Learned:
+    """What a plan has learned, for another one: servers' limits, how connections ended by bucket of idle time, and
+    what an answer takes, in us."""
+
+    limits: dict[str, int]
+    broke: list[float]
+    good: list[float]
+    use_us: float
+
+
 class Answer(Enum):
     """What an attempt is told."""
 
@@ -244,6 +255,24 @@
             s.idle_time.tell(idle_us)
             self._shorten(s)
 
+    def learned(self) -> Learned:
+        """What another process's plan for the same servers may begin with."""
+        limits = {s.id: s.limit for s in self.servers.values() if s.limit}
+        return Learned(limits, self.evidence.broke[:], self.evidence.good[:], self.use_us)
+
+    def recall(self, learned: Learned, now: int) -> None:
+        """Begin with what another plan has learned; what this one does not know or can't hold is left out."""
+        self.use_us, self.answers = max(0.0, learned.use_us), 100 if learned.use_us > 0 else 0
+        for row, seen in ((self.evidence.broke, learned.broke), (self.evidence.good, learned.good)):
+            for k, value in enumerate(seen[:len(row)]):
+                row[k] = max(0.0, value)
+        for s in self.servers.values():
+            limit = learned.limits.get(s.id, 0)
+            if limit > 0:
+                s.limit, s.limit_at = limit, now
+            s.idle_time.refresh(now)
+            self._shorten(s)
+
     def limit(self, most: int) -> list[int]:
         """From now on at most so many connections; idle ones beyond that, to be closed, the longest idle first."""
         self.settings = replace(self.settings, most=most)
--- a/headspar/decide.py
+++ b/headspar/decide.py
@@ -48,6 +48,7 @@
     ClientGone,
     Effect,
     Event,
+    Experience,
     Fail,
     Group,
     Health,
@@ -56,10 +57,12 @@
     Outcome,
     PeerMessage,
     ProbeEnded,
+    Recalled,
     Refuse,
     RequestArrived,
     RequestClass,
     Send,
+    ServerExperience,
     SetTimer,
     Settings,
     SettingsChanged,
@@ -102,6 +105,13 @@
 TRIAL_US = (1_000_000, 8_000_000)  # pause between trials of a suspect: first, longest
 LOG_EVERY_US = 10_000_000  # at most one line of reasons in this time
 GRID_US = 20_000
+# ---- what goes over to a successor, by attribute
+CAPACITY_FIGURES = (
+    "k", "linger_us", "rate", "work_rate", "served_rate", "steady", "sent_rate", "late_num", "late_den", "pressure",
+    "proven", "typical_work", "typical_own", "mean_load", "acc", "ticks",
+)
+CLASS_FIGURES = ("count", "m_lat", "m_cost", "v_cost", "cov", "base", "slope")
+RECALLED_ASK_US = 500_000  # a successor watches discovery within it: the process before it stops soon
 
 OK, ERROR, FULL, TIMEOUT = Outcome.OK, Outcome.ERROR, Outcome.FULL, Outcome.TIMEOUT
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
@@ -735,6 +745,7 @@
             ProbeEnded: self._nothing,
             PeerMessage: self.peers.hear,
             SettingsChanged: self._settings_changed,
+            Recalled: self._recalled,
         }
 
     def handle(self, now_us: int, events: list[Event]) -> list[Action]:
@@ -981,6 +992,50 @@
         if r is not None:
             self._over(r)
 
+    def experience(self) -> Experience:
+        """What was learned, for the process that comes after this one; the host asks for it."""
+        c, a = self.capacity, self.admission
+        half = len(self.classes)
+        return Experience(
+            {name: getattr(c, name) for name in CAPACITY_FIGURES}, {k: v[:] for k, v in c.kinds.items()},
+            {s.spec.name: [getattr(s, name) for name in CLASS_FIGURES] for s in self.classes},
+            {name: [x[j] for j in (i, i + half) for x in (a.smooth, a.smooth_work)] for name, i in a.index.items()},
+            {name: t[1:] for name, t in a.tenants.items()}, self.costliest, self.retries,
+            [
+                ServerExperience(b.id, b.started_at, b.health, b.seen, b.expected, b.linger + b.out, b.last_ok,
+                                 b.trial_at, b.trial_pause)
+                for b in self.membership.backends.values()
+            ],
+        )
+
+    def _recalled(self, e: Recalled, now: int) -> None:
+        """Go on from what another process has learned of the backends, classes and tenants that are here too."""
+        x, c, a = e.experience, self.capacity, self.admission
+        half = len(self.classes)
+        for name in CAPACITY_FIGURES:
+            setattr(c, name, type(getattr(c, name))(x.capacity.get(name, getattr(c, name))))
+        c.kinds.update({kind: v[:] for kind, v in x.kinds.items() if kind in c.kinds})
+        for cls in self.classes:
+            for name, value in zip(CLASS_FIGURES, x.classes.get(cls.spec.name, ()), strict=False):
+                setattr(cls, name, type(getattr(cls, name))(value))
+        for name, i in a.index.items():
+            if name in x.shares:
+                a.smooth[i], a.smooth_work[i], a.smooth[i + half], a.smooth_work[i + half] = x.shares[name]
+        for name, t in a.tenants.items():
+            t[1:] = x.tenants.get(name, t[1:])
+        self.costliest = max(self.costliest, x.costliest)
+        self.retries = min(20.0, max(0.0, x.retries))
+        for s in x.servers:
+            b = self.membership.backends.get(s.id)
+            if b is None or abs(b.started_at - s.started_at_us) > 1_000_000:
+                continue  # it has started anew since, and is another one by now
+            b.health, b.seen, b.expected, b.linger = s.health, s.seen, s.expected, s.linger
+            b.last_ok, b.trial_at, b.trial_pause = s.last_ok, s.trial_at, s.trial_pause
+        m = self.membership
+        if m.wants:
+            m.ask_at = now + int(self.rng.random() * RECALLED_ASK_US)
+        self.tick_at = now  # Nm_i follow from all this
+
     def _settings_changed(self, e: SettingsChanged, now: int) -> None:
         """What was learned of backends, K and classes that stay is kept; requests under way hold on to the class
         that they came under."""
@@ -1000,7 +1055,7 @@
             return before
         state = ClassState(spec, index)
         if before is not None:
-            for name in ("count", "m_lat", "m_cost", "v_cost", "cov", "base", "slope"):
+            for name in CLASS_FIGURES:
                 setattr(state, name, getattr(before, name))
         return state
 
--- a/headspar/interface.py
+++ b/headspar/interface.py
@@ -258,6 +258,45 @@
     settings: Settings
 
 
+@dataclass(slots=True)
+class ServerExperience:
+    """What the module has learned of one backend; times are the clock's, work in us."""
+
+    id: str
+    started_at_us: int
+    health: float
+    seen: float
+    expected: float
+    linger: float  # with what is outstanding
+    last_ok: int
+    trial_at: int
+    trial_pause: int
+
+
+@dataclass(slots=True)
+class Experience:
+    """What the module has learned, for the process that comes after this one on the same machine.  ``capacity``:
+    its figures by name; ``kinds``: seen and expected latency of a kind of machine; ``classes``: figures of latency;
+    ``shares``: smoothed requests and work of a class within and beyond tenants' shares; ``tenants``: tokens and
+    when they were counted; ``costliest``: in us of work."""
+
+    capacity: dict[str, float]
+    kinds: dict[str, list[float]]
+    classes: dict[str, list[float]]
+    shares: dict[str, list[float]]
+    tenants: dict[str, list[float]]
+    costliest: int
+    retries: float
+    servers: list[ServerExperience]
+
+
+@dataclass(slots=True)
+class Recalled:
+    """Comes right after the first list: what a process before this one has learned."""
+
+    experience: Experience
+
+
 @dataclass(slots=True)
 class PeerMessage:
     """Bytes from another node."""
@@ -268,7 +307,7 @@
 
 Event = Union[
     RequestArrived, StreamStarted, AttemptEnded, ClientGone, TimerFired, BackendList, ProbeEnded, PeerMessage,
-    SettingsChanged,
+    SettingsChanged, Recalled,
 ]
 
 
--- a/headspar/node/core.py
+++ b/headspar/node/core.py
@@ -22,10 +22,12 @@
     CancelAttempt,
     ClientGone,
     Event,
+    Experience,
     Fail,
     Log,
     Outcome,
     PeerMessage,
+    Recalled,
     Refuse,
     RequestArrived,
     Send,
@@ -163,6 +165,10 @@
             self.turn_due = True
             self.loop.call_soon(self._turn)
 
+    def settle(self) -> None:
+        """Let the module hear now what has gathered."""
+        self._turn()
+
     def _turn(self) -> None:
         self.turn_due = False
         events, self.events = self.events, []
@@ -398,6 +404,12 @@
                 self.answer(r, 504)
                 self.post(ClientGone(r.key))
 
+    # ------------------------------------------------------------ what another process has learned
+
+    def recall(self, experience: Experience) -> None:
+        """Right after the first list."""
+        self.post(Recalled(experience))
+
     # ------------------------------------------------------------ settings
 
     def change(self, settings: Settings) -> None:
--- a/headspar/node/discovery.py
+++ b/headspar/node/discovery.py
@@ -30,6 +30,7 @@
 AGAIN_US = 500_000  # pause before the agent is called again
 MAX_ANSWER = 16 * 1024 * 1024
 HEALTHS = {"ready": Health.READY, "draining": Health.DRAINING, "gone": Health.GONE}
+STATES = {health: name for name, health in HEALTHS.items()}
 
 
 class Call(asyncio.Protocol):
@@ -118,6 +119,20 @@
         if not self.asked:
             self.watch(True)
 
+    def known(self) -> dict[str, Any]:
+        """The list as it was last told, in discovery's own form."""
+        hosts, rows = self.backends.hosts, []
+        for e in self.node.reach.entries.values():
+            host = hosts.get(e.backend)
+            if host is not None:
+                started = max(1, round((e.started_at_us - self.offset_us) / 1000)) if e.started_at_us else 0
+                rows.append({
+                    "instanceId": e.backend, "hostPort": f"{host.address[0]}:{host.address[1]}", "zone": e.zone,
+                    "machineType": e.kind, "cell": e.cell, "lifecycle": STATES[e.health], "weight": e.weight,
+                    "startedAtMs": started,
+                })
+        return {"generation": self.generation, "reset": True, "instances": rows}
+
     def watch(self, enable: bool) -> None:
         self.watching = enable
         if not enable:
--- a/headspar/operator_file.py
+++ b/headspar/operator_file.py
@@ -62,12 +62,20 @@
         _want("{" not in rest and "\0" not in rest, "file", f"{self.file!r} holds something other than {{name}}")
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HandoverTable:
+    """``[handover]``: upgrades; see docs/operators/on-call.md."""
+
+    beliefs: bool = True  # whether a process goes on from what the one before it has learned
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Operator:
     """The whole file."""
 
     connections: Connections = dataclasses.field(default_factory=Connections)
     recorder: RecorderTable = dataclasses.field(default_factory=RecorderTable)
+    handover: HandoverTable = dataclasses.field(default_factory=HandoverTable)
 
 
 def _want(good: bool, field: str, text: str) -> None:
--- a/headspar/process.py
+++ b/headspar/process.py
@@ -16,6 +16,7 @@
 from headspar.config import Address, Config, ConfigError, load_config
 from headspar.connections.subset import Subset, SubsetSettings
 from headspar.handover import meeting, shares
+from headspar.handover.beliefs import Beliefs, BeliefsError, decode, encode
 from headspar.handover.giver import Giver
 from headspar.handover.messages import Held, Offer
 from headspar.handover.sides import Giving
@@ -109,7 +110,12 @@
             await self._listen_to_peers()
         if taken is not None:
             self._share(shares.second(self.alone_share, taken.offer))
-        node.discovery.start(config.known)
+        beliefs = self._beliefs()
+        node.discovery.start(config.known if beliefs is None else beliefs.known)
+        if beliefs is not None:
+            node.recall(beliefs.experience)
+            node.backends.plan.recall(beliefs.learned, now_us())
+        node.settle()  # the module knows its servers before the node says yes
         if config.ops:
             self.ops = operators.Listener(self.calls, loop, bound(config.ops))
         await self._listen()
@@ -129,6 +135,20 @@
         gc.collect()
         gc.freeze()
 
+    def _beliefs(self) -> Beliefs | None:
+        """What the process before this one believed, unless it can't be used or its list is the older one."""
+        if self.taken is None or not self.config.operator.handover.beliefs:
+            return None
+        try:
+            beliefs = decode(self.taken.beliefs)
+        except BeliefsError as error:
+            self.node.log(f"hand-over: beliefs not taken: {error}")
+            return None
+        older = beliefs.known["generation"] < self.config.known.get("generation", 0)
+        if older:
+            beliefs.known = self.config.known
+        return beliefs
+
     async def _listen(self) -> None:
         """Accept clients, on a copy: the socket itself is kept for a successor, or to listen again."""
         server = self.server
@@ -216,7 +236,11 @@
         self._share(shares.offered(self.alone_share))
         files = [self.socket.fileno()] + ([self.peers_socket.fileno()] if self.peers_socket else [])
         held = self.held()
-        return Offer(len(files) > 1, held.clients, held.backends, held.requests), files, b"{}"
+        return Offer(len(files) > 1, held.clients, held.backends, held.requests), files, self._believed()
+
+    def _believed(self) -> bytes:
+        node = self.node
+        return encode(Beliefs(node.discovery.known(), node.balancer.experience(), node.backends.plan.learned()))
 
     def succeeded(self) -> None:
         """It serves: nothing more is accepted here, and no peer is heard or told."""
