Set aside room for bodies as they come; wait a second before a drain closes idle clients

Cause: a body's whole length was set aside at its head, out of 60% of what memory has beyond 72 MB though a node takes 15; chunked bodies without room were then counted as an endless head (431). Change: room as bytes come, 70% beyond 32 MB, small pieces in blocks of 16 KiB, half each for two processes. And three to seven requests crossed the close of idle connections in a drain: these now get a second in which an answer may close them. Ruled out: slow clients pushed out for descriptors (303 of 1,024 were in use).

--- a/headspar/node/backends.py
+++ b/headspar/node/backends.py
@@ -29,10 +29,15 @@
 class Budget:
     """Bytes of bodies that the whole process may hold."""
 
-    __slots__ = ("left",)
+    __slots__ = ("size", "left")
 
     def __init__(self, size: int) -> None:
-        self.left = size
+        self.size = self.left = size
+
+    def resize(self, size: int) -> None:
+        """Another size; what is held beyond it stays until it is given back."""
+        self.left += size - self.size
+        self.size = size
 
     def take(self, size: int) -> bool:
         if size > self.left:
--- a/headspar/node/clients.py
+++ b/headspar/node/clients.py
@@ -35,7 +35,8 @@
 SLOW_BODY_US = 20  # a byte; 50 kB a second
 CREEP = 12  # times as slow as that, and it is a stall though bytes come
 LINGER_TICKS = 2
-IDLE_US = 300_000  # a drained node closes what has stood idle for so long
+BLOCK = 16 * 1024  # small pieces of a body are put together up to this size
+IDLE_US = 1_000_000  # a drained node closes what has stood idle for so long
 LOOK_S = 0.05  # and looks for it so often
 # Two values of one of these, even the same twice, leave open which one others on the way have read.
 ONCE = frozenset((
@@ -226,8 +227,8 @@
             self.bad = 200 if self.node.lifecycle.ready else 503
         else:
             self.bad = self._read(r, method)
-            if not self.bad and length is not None and not self._grow(r, int(length)):
-                self.bad = 503
+            if not self.bad and length is not None and int(length) > self.server.budget.size:
+                self.bad = 503  # it will never fit
             if headers.get(b"expect", b"").lower() == b"100-continue" and self.transport is not None:
                 if self.bad:
                     self._reject(self.bad)  # the body stays where it is
@@ -288,13 +289,20 @@
         r = self.incoming
         if self.bad or self.deaf or r is None:
             return
-        r.body.append(data)
-        if b"content-length" not in self.headers:
-            if r.size + len(data) > MAX_BODY:
-                self._reject(413)
-            elif not self._grow(r, len(data)):
-                self._drop_incoming()
-                self.bad = 503
+        if r.size + len(data) > MAX_BODY:
+            self._reject(413)
+        elif not self._grow(r, len(data)):
+            self.node.turned_away(r)
+            self._reject(503)
+        elif r.body and len(r.body[-1]) + len(data) <= BLOCK:
+            # Slow peers write in small pieces, and each would cost more than it holds.
+            last = r.body[-1]
+            if isinstance(last, bytearray):
+                last += data
+            else:
+                r.body[-1] = bytearray(last) + data
+        else:
+            r.body.append(data)
 
     def on_message_complete(self) -> None:
         if self.deaf or self.framing:
--- a/headspar/node/core.py
+++ b/headspar/node/core.py
@@ -82,7 +82,7 @@
         self.hint_us: int | None = None
         self.is_repeat = False
         self.extra = b""
-        self.body: list[bytes] = []
+        self.body: list[bytes | bytearray] = []
         self.size = 0
         self.deadline = 0
         self.live = False
--- a/headspar/process.py
+++ b/headspar/process.py
@@ -35,8 +35,8 @@
 if TYPE_CHECKING:
     from headspar.recorder.file import Recorder
 
-OWN_MB = 72  # the program itself, buffers of sockets, held requests
-BODIES_SHARE = 0.6  # of the memory beyond that
+OWN_MB = 32  # the program itself (15), buffers of sockets, held requests
+BODIES_SHARE = 0.7  # of the memory beyond that: one body of 32 MB fits in 80 MB
 ACCEPT_S = 0.55  # after SIGTERM new connections go on coming for up to 0.4 s
 LONGEST_S = 3.0  # what SIGKILL waits for of the longest deadline, at the most
 END_S = 0.55  # beyond it; SIGKILL comes 0.7 s beyond
@@ -73,7 +73,8 @@
         )
         callers = operators.MOST if config.ops else 0
         self.alone_share = shares.whole(config.sockets, callers, config.settings.most_held)
-        budget = Budget(int(BODIES_SHARE * max(16, config.memory_mb - OWN_MB)) * 1024 * 1024)
+        self.room = int(BODIES_SHARE * max(16, config.memory_mb - OWN_MB)) * 1024 * 1024
+        budget = self.budget = Budget(self.room)
         file = config.operator.connections
         most = self.alone_share.backends
         node.backends = Backends(node, most, budget, file)
@@ -202,7 +203,8 @@
 
     # ------------------------------------------------------------ beside a second process
 
-    def _share(self, part: shares.Shares) -> None:
+    def _share(self, part: shares.Shares, *, alone: bool = False) -> None:
+        self.budget.resize(self.room if alone else self.room // 2)
         self.server.most, self.server.spare = part.clients, part.spare
         self.node.backends.limit(part.backends)
         self.node.most_held = part.requests
@@ -229,7 +231,10 @@
 
     def _held_by_first(self, held: Held | None) -> None:
         """The process before this one holds so much; None: it has ended."""
-        self._share(self.alone_share if held is None else shares.second(self.alone_share, held))
+        if held is None:
+            self._share(self.alone_share, alone=True)
+        else:
+            self._share(shares.second(self.alone_share, held))
 
     def offered(self) -> tuple[Offer, list[int], bytes]:
         """A second process starts."""
@@ -270,7 +275,7 @@
     def alone(self) -> None:
         """The second process is gone: this one is the node again, unless it ends itself."""
         self.node.log("hand-over: the second process is gone")
-        self._share(self.alone_share)
+        self._share(self.alone_share, alone=True)
         handed = self.node.lifecycle.hands_over
         self.node.lifecycle.move(Cause.ALONE)
         if handed and not self.node.lifecycle.ending:
