Teach the lab planned upgrades and an operator's drain

Need: upgrades and drains had no run with an audit. node_upgrade starts a second process and ends the first at its yes; node_drain calls fail and ok; the audit counts ends that are due by node. A test's leftover processes of a half-way upgrade are ended too.

--- a/headspar/lab/audit.py
+++ b/headspar/lab/audit.py
@@ -334,13 +334,15 @@
     # ------------------------------------------------------------ the whole
 
     def _crashes(self) -> None:
-        ordered: set[str] = set()
+        ordered: dict[str, int] = {}  # ends that are due, by node; in an upgrade one process ends and one stays
         for mark in sorted(self.r.marks, key=lambda m: m.at):
             if mark.what in ("node_term", "node_kill"):
-                ordered.add(mark.target)
+                ordered[mark.target] = ordered.get(mark.target, 0) + 1
             elif mark.what == "node_start":
-                ordered.discard(mark.target)
-            elif mark.what == "node_exit" and mark.target not in ordered:
+                ordered.pop(mark.target, None)
+            elif mark.what == "node_exit" and ordered.get(mark.target):
+                ordered[mark.target] -= 1
+            elif mark.what == "node_exit":
                 self.broken("crash", "ended by itself", mark.at, mark.text or "no signal was sent to it",
                             node=mark.target)
 
--- a/headspar/lab/nodes.py
+++ b/headspar/lab/nodes.py
@@ -115,9 +115,12 @@
         self.log = dir / f"{name}.log"
         self.process: asyncio.subprocess.Process | None = None
         self.watcher: asyncio.Task[None] | None = None
+        self.watchers: list[asyncio.Task[None]] = []  # of processes beside others
         self.marks: list[Mark] = []
         self.command = [sys.executable, "-m", "headspar"]
         self.operator: Path | None = None  # its operator's file
+        self.ops = free_address(listen[0])
+        self.tmp = dir / f"{name}.tmp"
 
     def record(self) -> None:
         """From its next start on it leaves a flight record, ``NAME.flight``."""
@@ -126,21 +129,64 @@
         self.operator.write_text(f"[recorder]\nfile = {path}\n")
 
     async def start(self, known: dict[str, Any], discovery: Address) -> None:
+        self.tmp.mkdir(exist_ok=True)
+        self.process = await self._spawn(known, discovery)
+        self.marks.append(Mark(now_us(), "node_start", self.name))
+        self.watcher = asyncio.create_task(self._watch(self.process))
+
+    async def _spawn(self, known: dict[str, Any], discovery: Address) -> asyncio.subprocess.Process:
         self.config["known"] = known
         self.configure(discovery)
         env = {k: v for k, v in package_env().items() if not k.startswith("ROUTER_")}
         env.pop("HEADSPAR_OPERATOR", None)
         env |= {"ROUTER_NAME": self.name, "ROUTER_LISTEN": f"{self.listen[0]}:{self.listen[1]}",
-                "ROUTER_DISCOVERY": f"{discovery[0]}:{discovery[1]}", "ROUTER_CONFIG": str(self.path)}
+                "ROUTER_DISCOVERY": f"{discovery[0]}:{discovery[1]}", "ROUTER_CONFIG": str(self.path),
+                "ROUTER_OPS": f"{self.ops[0]}:{self.ops[1]}", "TMPDIR": str(self.tmp.absolute())}
         if self.operator is not None:
             env["HEADSPAR_OPERATOR"] = str(self.operator)
         with self.log.open("ab") as log:
-            self.process = await asyncio.create_subprocess_exec(
+            return await asyncio.create_subprocess_exec(
                 *self.command, env=env, stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log,
                 preexec_fn=die_with_parent, start_new_session=True,
             )
-        self.marks.append(Mark(now_us(), "node_start", self.name))
-        self.watcher = asyncio.create_task(self._watch(self.process))
+
+    # ------------------------------------------------------------ what operators do
+
+    async def beside(self, known: dict[str, Any], discovery: Address) -> asyncio.subprocess.Process:
+        """Start a second process of the node, with operators elsewhere, which is the node from now on; the first."""
+        first = self.process
+        assert first is not None
+        self.ops = free_address(self.listen[0])
+        self.process = await self._spawn(known, discovery)
+        self.marks.append(Mark(now_us(), "node_upgrade", self.name))
+        self.watchers.append(asyncio.create_task(self._watch(self.process)))
+        return first
+
+    def end_first(self, first: asyncio.subprocess.Process) -> None:
+        """SIGTERM to a process that has a successor."""
+        self.marks.append(Mark(now_us(), "node_term", self.name))
+        with contextlib.suppress(ProcessLookupError):
+            first.send_signal(signal.SIGTERM)
+
+    async def call(self, path: str, method: str = "GET") -> tuple[int, dict[str, Any]]:
+        """An operator's call; its status and JSON."""
+        reader, writer = await asyncio.open_connection(*self.ops)
+        try:
+            writer.write(f"{method} {path} HTTP/1.1\r\nHost: lab\r\nContent-Length: 0\r\n\r\n".encode())
+            head, _, body = (await reader.read()).partition(b"\r\n\r\n")
+        finally:
+            writer.close()
+        return int(head.split()[1]), json.loads(body)
+
+    async def says_yes(self, seconds: float) -> bool:
+        """Whether its process says within so many seconds that it is ready to serve."""
+        end = now_us() + int(seconds * 1e6)
+        while now_us() < end:
+            with contextlib.suppress(OSError, IndexError, ValueError):
+                if (await self.call("/healthcheck"))[0] == 200:
+                    return True
+            await asyncio.sleep(0.01)
+        return False
 
     def configure(self, discovery: Address) -> None:
         """Replace the file of the configuration, whole or not at all."""
@@ -186,7 +232,7 @@
             self.signal(signal.SIGKILL, "node_kill")
             await self.process.wait()
         if self.watcher is not None:
-            await self.watcher
+            await asyncio.gather(self.watcher, *self.watchers)
 
     def kill(self) -> None:
         if self.process is not None and self.process.returncode is None:
--- a/headspar/lab/plan.py
+++ b/headspar/lab/plan.py
@@ -203,7 +203,9 @@
     if f.kind in ("node_term", "node_kill"):
         rows = [Step(at, f.kind, chosen)]
         return rows + ([Step(back, "node_start", chosen)] if f.back_s else [])
-    if f.kind == "node_hup":
+    if f.kind == "node_drain":
+        return [Step(at, f.kind, chosen), Step(end, "node_undrain", chosen)]
+    if f.kind in ("node_hup", "node_upgrade"):
         return [Step(at, f.kind, chosen)]
     # Floods and hot keys are in the arrivals; these steps only mark them.
     return [Step(at, f.kind, ["c"], text=f.agent or ""), Step(end, "mend", ["c"], text=f.kind)]
--- a/headspar/lab/run.py
+++ b/headspar/lab/run.py
@@ -27,6 +27,7 @@
 READY_S = 30.0
 LEAD_US = 400_000  # from the last one's being ready to the first arrival
 TERM_NOTICE_S = 0.3  # the front learns of a planned restart
+DRAIN_NOTICE_S = 0.2  # and of a drain, or its end
 TICK_S = 0.05
 TRUTH = "truth.bin"  # what was true, beside the nodes' flight records
 
@@ -90,10 +91,11 @@
     """The processes of one run."""
 
     def __init__(self, scenario: Scenario, seed: int, dir: Path, on_progress: Progress | None = None,
-                 command: list[str] | None = None, record: bool = False) -> None:
+                 command: list[str] | None = None, record: bool = False, operator: Path | None = None) -> None:
         """``command`` starts a node in place of the real one; tests put broken relays there.  ``record``: each node
-        leaves its flight record, and the lab what was true, in ``dir``."""
+        leaves its flight record, and the lab what was true, in ``dir``.  ``operator``: the nodes' operator's file."""
         self.s, self.seed, self.dir, self.command, self.record = scenario, seed, dir, command, record
+        self.operator = operator
         self.plan = draw(scenario, seed)
         self.on_progress = on_progress
         self.hosts = Hosts()
@@ -161,6 +163,7 @@
             self.nodes[name] = NodeProcess(name, config, listens[name], self.dir)
             if self.command is not None:
                 self.nodes[name].command = self.command
+            self.nodes[name].operator = self.operator
             if self.record:
                 self.nodes[name].record()
 
@@ -251,6 +254,15 @@
         elif kind == "node_hup":
             node.configure(self.discovery.desks[node.name].address)
             node.signal(signal.SIGHUP, kind)
+        elif kind == "node_upgrade":
+            await self._upgrade(node)
+        elif kind in ("node_drain", "node_undrain"):
+            node.marks.append(Mark(now_us(), kind, node.name))
+            status, _ = await node.call("/healthcheck/fail" if kind == "node_drain" else "/healthcheck/ok", "POST")
+            if status != 200:
+                raise RunError(f"{node.name} answered {status} to an operator")
+            await asyncio.sleep(DRAIN_NOTICE_S)
+            self._front(node, kind == "node_undrain")
         elif kind == "node_start":
             if node.process is not None and node.process.returncode is None:
                 try:
@@ -263,6 +275,14 @@
             if await node.ready(READY_S):
                 self._front(node, True)
 
+    async def _upgrade(self, node: NodeProcess) -> None:
+        """A second process beside the first, which gets SIGTERM at its yes."""
+        assert self.discovery is not None
+        first = await node.beside(self.discovery.known(node.name), self.discovery.desks[node.name].address)
+        if not await node.says_yes(READY_S):
+            raise RunError(f"{node.name} does not get ready beside itself")
+        node.end_first(first)
+
     def _front(self, node: NodeProcess, up: bool) -> None:
         for child in self.callers:
             child.tell({"cmd": "node", "node": node.name, "up": up})
@@ -379,14 +399,14 @@
 
 
 def run_scenario(scenario: Scenario, seed: int, dir: Path, on_progress: Progress | None = None,
-                 command: list[str] | None = None, record: bool = False) -> Result:
+                 command: list[str] | None = None, record: bool = False, operator: Path | None = None) -> Result:
     """Run it on an event loop of its own.  ``RunError`` if it can't be carried out."""
     import uvloop
 
     dir.mkdir(parents=True, exist_ok=True)
 
     async def whole() -> Result:
-        return await Run(scenario, seed, dir, on_progress, command, record).run()
+        return await Run(scenario, seed, dir, on_progress, command, record, operator).run()
 
     if sys.platform == "win32":  # pragma: no cover
         raise RunError("the lab needs a POSIX system")
--- a/tests/lab/test_nodes_under_faults.py
+++ b/tests/lab/test_nodes_under_faults.py
@@ -61,6 +61,8 @@
     "drains": lambda r: sum(t.state == "draining" and not t.presumed for t in r.recording.told) >= 3
     and marks(r)["discovery_gone"] == 1,
     "restarts": lambda r: marks(r)["node_start"] == 5 and marks(r)["node_kill"] == 1 and marks(r)["node_hup"] == 5,
+    "upgrades": lambda r: marks(r)["node_upgrade"] == 4 and marks(r)["node_exit"] == 6 and marks(r)["node_drain"] == 1
+    and r.verdict.served == r.verdict.taken,
     "flood": lambda r: fates(r)[Fate.TURNED_AWAY] > 0 and r.verdict.refused > 50 and ends(r)[End.LEFT] > 0,
     "growth": lambda r: len(r.recording.starts) == 14 and r.verdict.cold_peak_ratio > 0.01,
     "returns": lambda r: len(r.recording.starts) == 7 and r.verdict.cold_peak_ratio > 0.01,
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -279,12 +279,14 @@
         self.ops = free_address() if ops else None
         if self.ops is not None:
             self.env["ROUTER_OPS"] = text(self.ops)
+        self.processes: list[subprocess.Popen[bytes]] = []
         self.start(healthy)
 
     def start(self, healthy: bool = True) -> None:
         with self.log.open("ab") as log:
             command = [sys.executable, "-m", "headspar"]
             self.process = subprocess.Popen(command, cwd=ROOT, env=self.env, stderr=log)
+            self.processes.append(self.process)
         if healthy:
             wait_for(lambda: self.health() == 200)
 
@@ -363,9 +365,10 @@
         return self.process.wait(PATIENCE)
 
     def close(self) -> None:
-        if self.process.poll() is None:
-            self.process.kill()
-            self.process.wait()
+        for process in self.processes:  # also those of an upgrade that a failed test has left half-way
+            if process.poll() is None:
+                process.kill()
+                process.wait()
         for listener in (*self.backends, self.discovery):
             listener.close()
         self.dir.cleanup()
