--- a/benchmarks/rig.py
+++ b/benchmarks/rig.py
@@ -140,6 +140,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
+        self.stream.callers.add(self)
 
     def data_received(self, data: bytes) -> None:
         data = self.buffer + data
@@ -152,7 +153,7 @@
         self.stream.answered(self, data.startswith(b"HTTP/1.1 200"))
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.stream.lost += 1
+        self.stream.ended(self)
 
 
 class Stream:
@@ -162,6 +163,7 @@
         self.address = address
         self.rng = random.Random(seed)
         self.idle: list[Caller] = []
+        self.callers: set[Caller] = set()
         self.served = self.other = self.sent = self.lost = self.serial = 0
         self.latencies: list[int] = []
 
@@ -171,6 +173,13 @@
         self.latencies.append(now_us() - caller.sent_at)
         self.idle.append(caller)
 
+    def ended(self, caller: Caller) -> None:
+        """The node has ended a connection."""
+        self.lost += 1
+        self.callers.discard(caller)
+        if caller in self.idle:
+            self.idle.remove(caller)
+
     async def send(self) -> None:
         if self.idle:
             caller = self.idle.pop()
