--- a/benchmarks/rig.py
+++ b/benchmarks/rig.py
@@ -150,7 +150,7 @@
             self.buffer = data
             return
         self.buffer = b""
-        self.stream.answered(self, data.startswith(b"HTTP/1.1 200"))
+        self.stream.answered(self, data.startswith(b"HTTP/1.1 200"), b"Connection: close" in data[:end])
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.stream.ended(self)
@@ -167,11 +167,12 @@
         self.served = self.other = self.sent = self.lost = self.serial = 0
         self.latencies: list[int] = []
 
-    def answered(self, caller: Caller, good: bool) -> None:
+    def answered(self, caller: Caller, good: bool, last: bool) -> None:
         self.served += good
         self.other += not good
         self.latencies.append(now_us() - caller.sent_at)
-        self.idle.append(caller)
+        if not last:  # else the node closes it
+            self.idle.append(caller)
 
     def ended(self, caller: Caller) -> None:
         """The node has ended a connection."""
