Let the admission's first settings and later ones take one way

Cause: a change of settings ran the constructor again. Change: the constructor calls change; fields of hand-over messages are read from their types, and the bound on beliefs stands once.

--- a/headspar/decide.py
+++ b/headspar/decide.py
@@ -558,30 +558,37 @@
     """P_j, Pa(j), tenants' shares."""
 
     def __init__(self, settings: Settings, rng: random.Random) -> None:
-        self.settings, self.rng = settings, rng
-        self.index = {c.name: i for i, c in enumerate(settings.classes)}
-        n = 2 * len(settings.classes)  # class, and the same beyond its tenant's share
-        self.lq = [0.0] * n  # arrivals in this interval
-        self.work = [0.0] * n
-        self.smooth = [0.0] * n  # L_j
-        self.smooth_work = [0.0] * n
-        self.pa = [1.0] * n
-        self.tenants = {t.name: [t.quota_rps / settings.balancers, 0.0, -1.0] for t in settings.tenants}
+        self.rng = rng
         self.refused = 0
+        self.index: dict[str, int] = {}
+        self.smooth: list[float] = []  # L_j
+        self.smooth_work: list[float] = []
+        self.pa: list[float] = []
+        self.tenants: dict[str, list[float]] = {}
+        self.change(settings)
 
     def change(self, settings: Settings) -> None:
         """New settings: classes and tenants that stay keep their figures."""
-        before, half = self.index, len(self.settings.classes)
-        smooth, work, pa, tenants = self.smooth, self.smooth_work, self.pa, self.tenants
-        self.__init__(settings, self.rng)  # type: ignore[misc]
-        for name, i in self.index.items():
-            j = before.get(name)
-            for to, at in ((i, j), (i + len(settings.classes), None if j is None else j + half)):
-                if at is not None:
-                    self.smooth[to], self.smooth_work[to], self.pa[to] = smooth[at], work[at], pa[at]
-        for name, t in self.tenants.items():
-            if name in tenants:
-                t[1:] = tenants[name][1:]
+        self.settings = settings
+        names = [c.name for c in settings.classes]
+        half = len(self.index)
+        # Where a class's figures stood, and the same beyond its tenant's share.
+        old = [self.index.get(name) for name in names] + [
+            self.index[name] + half if name in self.index else None for name in names
+        ]
+
+        def kept(row: list[float], new: float) -> list[float]:
+            return [new if j is None else row[j] for j in old]
+
+        self.lq = [0.0] * len(old)  # arrivals in this interval
+        self.work = [0.0] * len(old)
+        self.smooth, self.smooth_work = kept(self.smooth, 0.0), kept(self.smooth_work, 0.0)
+        self.pa = kept(self.pa, 1.0)
+        self.index = {name: i for i, name in enumerate(names)}
+        share = settings.balancers
+        self.tenants = {
+            t.name: [t.quota_rps / share, *self.tenants.get(t.name, (0.0, 0.0, -1.0))[1:]] for t in settings.tenants
+        }
 
     def over_share(self, tenant: str | None, now: int) -> bool:
         """Whether a request is beyond this node's part of its tenant's quota: a bucket of two seconds."""
--- a/headspar/handover/messages.py
+++ b/headspar/handover/messages.py
@@ -8,12 +8,11 @@
 
 import json
 from dataclasses import asdict, dataclass
-from typing import Any
+from typing import Any, get_type_hints
 
 VERSION = 1
 MAX_PACKET = 4096
 MAX_SOCKETS = 16  # in one packet
-MAX_BELIEFS = 4 << 20  # bytes
 
 
 class MessageError(ValueError):
@@ -67,10 +66,7 @@
 
 Message = Hello | Offer | Ready | Clients | Held | No
 KINDS: dict[str, type[Message]] = {kind.__name__.lower(): kind for kind in (Hello, Offer, Ready, Clients, Held, No)}
-FIELDS: dict[type[Message], dict[str, type]] = {
-    Hello: {"name": str}, Offer: {"peers": bool, "clients": int, "backends": int, "requests": int}, Ready: {},
-    Clients: {"count": int}, Held: {"clients": int, "backends": int, "requests": int}, No: {"reason": str},
-}
+FIELDS: dict[type[Message], dict[str, type]] = {kind: get_type_hints(kind) for kind in KINDS.values()}
 
 
 def encode(message: Message) -> bytes:
--- a/headspar/handover/taker.py
+++ b/headspar/handover/taker.py
@@ -11,7 +11,8 @@
 from pathlib import Path
 
 from headspar.handover import meeting
-from headspar.handover.messages import MAX_BELIEFS, Clients, Held, Hello, MessageError, No, Offer, Ready
+from headspar.handover.beliefs import MOST_BYTES
+from headspar.handover.messages import Clients, Held, Hello, MessageError, No, Offer, Ready
 from headspar.handover.sides import Do, Taking, taker
 
 PATIENCE_S = 1.5  # for the offer
@@ -68,7 +69,7 @@
     sockets = [socket.socket(fileno=fd) for fd in files[:-1]]
     with os.fdopen(files[-1], "rb") as file:
         file.seek(0)
-        beliefs = file.read(MAX_BELIEFS)
+        beliefs = file.read(MOST_BYTES + 1)  # longer ones are turned down
     for sock in (link, *sockets):
         sock.setblocking(False)
     return Taken(link, message, sockets[0], sockets[1] if message.peers else None, beliefs)
