Offer each request to a cold backend by lot, so that seldom-met ones get their budget

Half of all requests were refused. Checked: the budget's rate is right (steady, summed over nodes, 1.3 to 2.7 s of work a second for a warm server); handshake pacing is not it (2 MOOT in all). A count in Picker.gate: 88 to 184 asks a node, 48 to 81 s of budget offered of the 648 s that stood there; a cold server was asked only when it had the largest AC, and what gathered beyond fall_us between two asks was lost. At fault: Picker.gate (elapsed capped at fall_us for each backend) and Picker.pick (asks only the best). In a small fleet each node meets each backend several times in fall_us. Change: each first attempt is offered to one cold backend by lot, with the chance that spends all cold ones' budgets since the last offer; ordinary picks are among warm ones. The gate stays for what nothing else is left for.

--- a/headspar/decide.py
+++ b/headspar/decide.py
@@ -465,7 +465,9 @@
         self.pool: list[Backend] = []  # usable, in an order of this node's own
         self.ring: list[Backend] = []
         self.suspects: list[Backend] = []
+        self.cold: list[Backend] = []
         self.home_cache: dict[str, list[Backend]] = {}
+        self.drawn_at = -1
 
     def set_pool(self, backends: list[Backend]) -> None:
         self.pool = backends[:]
@@ -473,11 +475,38 @@
         self.ring = self.pool + self.pool[:SAMPLE]
         self.home_cache.clear()
 
-    def gate(self, b: Backend, cost: int, now: int) -> bool:
-        c = self.capacity
-        warm = self.settings.warm_share(b.started_at, now)
-        if warm >= 1.0:
-            return True
+    def sort_out(self) -> None:
+        """Every Delta-t, and when the pool has changed: who is suspect, who is cold."""
+        self.suspects = [b for b in self.pool if b.health < SUSPECT]
+        self.cold = [b for b in self.pool if b.warm < 1.0]
+
+    def draw(self, r: Request, now: int) -> Backend | None:
+        """A cold backend that a request is part of the budget of, or none.
+
+        Each request is offered to one cold backend, by lot, and taken with the probability that spends, over all
+        of them, the budgets since the offer before.  A node of a large fleet meets each backend seldom: asked only
+        when they had the largest AC, cold ones were offered a tenth of their budgets and stood idle.
+        """
+        cold = self.cold
+        if not cold:
+            return None
+        fall = self.settings.fall_us
+        elapsed = min(fall, now - self.drawn_at) if self.drawn_at >= 0 else self.rng.random() * fall
+        b = cold[int(self.rng.random() * len(cold))]
+        window, rate = self.budget(b, now)
+        if r.cost > COLD_HEAVY * window or b.health < SUSPECT:
+            return None
+        self.drawn_at = now
+        chance = len(cold) * rate * elapsed / 1e6 / r.cost
+        if chance > 1.0:  # the rest stays for the next
+            self.drawn_at -= int(elapsed * (1.0 - 1.0 / chance))
+        return b if self.rng.random() < chance else None
+
+    def budget(self, b: Backend, now: int) -> tuple[float, float]:
+        """What all nodes may send a cold backend within the time that it takes to fall over, us of work; and the
+        rate of this node's part, us of work a second."""
+        c, s = self.capacity, self.settings
+        warm = s.warm_share(b.started_at, now)
         # A node that started a moment ago has a steady rate still on its way up; with that alone, nodes that come
         # back together starve the cold servers and push the warm ones over.
         per_unit = max(c.steady, c.served_rate / c.capacity_sum)
@@ -485,13 +514,17 @@
             per_unit = c.work_rate / len(self.pool)
         # Gentle while there is plenty; where capacity is short a cold server does its part like a warm one.
         rate = (1.0 - (1.0 - COLD_SAFETY) * c.acc) * warm * per_unit
+        return s.fall_multiple * warm * per_unit * c.senders * s.fall_us / 1e6, rate
+
+    def gate(self, b: Backend, cost: int, now: int) -> bool:
+        """Whether a cold backend's own budget takes a request that nothing else is left for."""
+        if self.settings.warm_share(b.started_at, now) >= 1.0:
+            return True
+        window, rate = self.budget(b, now)
         fall = self.settings.fall_us
         elapsed = min(fall, now - b.asked_at) if b.asked_at >= 0 else self.rng.random() * fall
         b.asked_at = now
-        window = self.settings.fall_multiple * warm * per_unit * c.senders * fall / 1e6
-        if cost > COLD_HEAVY * window or self.rng.random() * cost >= rate * elapsed / 1e6:
-            return False
-        return True
+        return cost <= COLD_HEAVY * window and self.rng.random() * cost < rate * elapsed / 1e6
 
     def homes(self, key: str) -> list[Backend]:
         found = self.home_cache.get(key)
@@ -527,30 +560,29 @@
                     b.put_off_trial(now)
                     self.suspects.append(self.suspects.pop(0))
                     return b
+            drawn = self.draw(r, now)
+            if drawn is not None:
+                return drawn
             start = int(self.rng.random() * size)
             candidates = self.ring[start:start + SAMPLE] if size > SAMPLE else pool[start:] + pool[:start]
         available = self.capacity.ac
         best, best_ac = None, -1e30
         for b in candidates:
-            ac = available(b)
-            if ac > best_ac:
-                best, best_ac = b, ac
-        if best is not None and r.key is not None and not attempts:
-            for b in self.homes(r.key):
-                ac = available(b)
-                if b.warm >= 1.0 and b.health >= SUSPECT and ac > best_ac - HOME_MARGIN * b.nm:
-                    return b
-        if best is None or best.warm >= 1.0 or self.gate(best, r.cost, now):
-            return best
-        best, best_ac = None, -1e30
-        for b in candidates if attempts else pool:
-            ac = available(b)
-            if b.warm >= 1.0 and ac > best_ac:
+            if b.warm >= 1.0 and (ac := available(b)) > best_ac:
                 best, best_ac = b, ac
+        if best is None and not attempts:
+            for b in pool:
+                if b.warm >= 1.0 and (ac := available(b)) > best_ac:
+                    best, best_ac = b, ac
         if best is None:
             for b in candidates:
                 if self.gate(b, r.cost, now):
                     return b
+        elif r.key is not None and not attempts:
+            for b in self.homes(r.key):
+                ac = available(b)
+                if b.warm >= 1.0 and b.health >= SUSPECT and ac > best_ac - HOME_MARGIN * b.nm:
+                    return b
         return best
 
 
@@ -801,7 +833,7 @@
         told = self.peers.tell(self.picker.pool, now)
         if told is not None:
             self.actions.append(TellPeers(told))
-        self.picker.suspects = [b for b in self.picker.pool if b.health < SUSPECT]
+        self.picker.sort_out()
         self.admission.tick(self.capacity.acc)
         m = self.membership
         if m.ask_at is not None and now >= m.ask_at:
@@ -1081,3 +1113,4 @@
             b.warm = self.settings.warm_share(b.started_at, now)
             b.nm_full = b.nm = c.k * b.warm
             b.linger = c.mean_load * b.warm * (0.5 + self.rng.random())
+        self.picker.sort_out()
