--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import random
+from collections import deque
 
-from headspar.decide import Backend, Capacity, Picker, Request
+from headspar.decide import ACC_FLOOR, INTERVAL_US, Backend, Capacity, Picker, Request
 from headspar.interface import Settings
 from tests.helpers import entry, settings
 from tests.test_mechanism import request
@@ -62,3 +63,49 @@
         at = [t for t, i in sends if i == id]
         for t in at:
             assert WORK * sum(t <= u < t + s.fall_us for u in at) < s.fall_multiple * 0.5 * PER_UNIT * s.fall_us / 1e6
+
+
+def admitted(capacity: float, load: float, seconds: float) -> list[float]:
+    """A fleet that asks ``load`` times what its servers carry, through its nodes' estimate of K: what they admit over
+    what the servers carry, for each Δt.  All nodes see the same, as they do when a zone has gone; work waits in one
+    line, and an answer's lateness is known when it comes."""
+    s = settings(balancers=NODES)
+    c = Capacity(s)
+    pool = [Backend(entry(i)) for i in range(60)]
+    for b in pool:
+        c.kinds.setdefault(b.kind, [0.0, 0.0])
+    dt, now, base = INTERVAL_US, 0, 300_000.0
+    line: deque[list[float]] = deque()  # [came at, work]
+    out = []
+    for step in range(int(seconds * 1e6 / dt)):
+        now += dt
+        share = capacity if step > 50 else 1.3 * load  # ten seconds with plenty, then what was lost is lost
+        part = min(1.0, c.acc / ACC_FLOOR)
+        ask = load * 1e6 * dt / 1e6
+        c.offered_work += int(ask)
+        c.sent_work += int(part * ask)
+        c.sent += 5
+        line.append([now, part * ask])
+        room = share * 1e6 * dt / 1e6
+        while line and room > 0:
+            done = min(room, line[0][1])
+            room -= done
+            line[0][1] -= done
+            c.served_work += int(done)
+            c.late_num += done * min(2.0, (now - line[0][0] + base) / 800_000)
+            c.late_den += done
+            if line[0][1] <= 0:
+                line.popleft()
+        c.tick(pool, now, dt)
+        if step > 50:
+            out.append(part * ask / (share * 1e6 * dt / 1e6))
+    return out
+
+
+def test_nodes_that_learn_of_lateness_late_do_not_swing_between_admitting_all_and_next_to_nothing() -> None:
+    """Found when a zone was lost: all nodes cut what they admitted to half of what the servers left could carry, and
+    let all in again seconds later, over and over."""
+    for load in (1.3, 1.6):
+        over = admitted(1.0, load, 50.0)[50:]  # from ten seconds after the loss on
+        assert 0.92 < sum(over) / len(over) < 1.1, load
+        assert min(over) > 0.25, load
