Let answers to others after as long idle vouch for a connection to a payment

Checked: no attempt was reset, so the connections that were passed over were sound; descriptors were plenty (130 of 384). At fault: Plan.take keeps to connections proven within proof_us, 0.9 s; of 40 nodes before 60 servers each meets a server every 2.5 s. Change: IdleTime knows, beside the time at which connections are retired, the time up to which reuse by requests that may be repeated has been answered, with at most one break in fifty; payments go over connections within it.

--- a/headspar/connections/idle_time.py
+++ b/headspar/connections/idle_time.py
@@ -22,6 +22,8 @@
 SHARED = 0.3  # weight of what was seen of other servers
 FORGOTTEN = 0.05  # breaks, faded, that are none any more
 MARGIN = 0.8  # of the time that was told
+TRUSTED = 12.0  # answers after so long idle, of all servers, that vouch for a connection
+TRUSTED_BREAKS = 0.02  # of the ends in a bucket that vouches
 
 
 def bucket(idle_us: int) -> int:
@@ -54,24 +56,26 @@
 
 class IdleTime:
     """One server's idle time; ``pool`` is what was seen of all servers, ``told_us`` the longest it can be.
+    ``limit_us``: at which connections are retired; ``trusted_us``: up to which what was seen vouches for one.
 
     What was seen of the server itself is only kept from its first break on: until then it has nothing to tell
     that the pool has not, and every request would pay for it.
     """
 
-    __slots__ = ("told_us", "own", "pool", "limit_us")
+    __slots__ = ("told_us", "least_us", "own", "pool", "limit_us", "trusted_us")
 
-    def __init__(self, told_us: int, pool: Evidence, now: int) -> None:
-        self.told_us, self.pool = told_us, pool
+    def __init__(self, told_us: int, pool: Evidence, now: int, least_us: int = 0) -> None:
+        """``least_us``: for so long a connection vouches for itself."""
+        self.told_us, self.pool, self.least_us = told_us, pool, least_us
         self.own: Evidence | None = None
-        self.limit_us = self._limit()
+        self._judge()
 
     def tell(self, told_us: int) -> None:
         """The longest that it can be has changed; the pool has been widened."""
         self.told_us = told_us
         if self.own is not None:
             self.own.widen(len(self.pool.broke))
-        self.limit_us = self._limit()
+        self._judge()
 
     def ended(self, idle_us: int) -> None:
         """A connection was closed by the server, or broke as it was used again, after so long idle."""
@@ -80,7 +84,7 @@
             self.own = Evidence(len(self.pool.broke), self.pool.at)
         self.own.broke[k] += 1.0
         self.pool.broke[k] += 1.0
-        self.limit_us = self._limit()
+        self._judge()
 
     def answered(self, idle_us: int) -> None:
         """One was used again after so long idle, and answered.  On every request's path: it only counts."""
@@ -99,7 +103,23 @@
             self.own.fade(now)
             if sum(self.own.broke) < FORGOTTEN:
                 self.own = None
+        self._judge()
+
+    def _judge(self) -> None:
         self.limit_us = self._limit()
+        self.trusted_us = min(self.limit_us, self._trusted())
+
+    def _trusted(self) -> int:
+        """A node that meets each server seldom has hardly ever a connection that was proven of late.  What has been
+        used again after as long idle, by requests that may be repeated, and been answered, vouches as well."""
+        own, pool, trusted = self.own, self.pool, self.least_us
+        for k in range(bucket(self.least_us), len(pool.good)):
+            good, broke = pool.good[k], pool.broke[k] + (own.broke[k] if own is not None else 0.0)
+            if broke >= 1.0 and broke > TRUSTED_BREAKS * (good + broke):
+                break
+            if good >= TRUSTED:  # what keeps a connection for longer keeps it for less
+                trusted = FIRST_US << k
+        return trusted
 
     def _limit(self) -> int:
         own, pool = self.own, self.pool
--- a/headspar/connections/plan.py
+++ b/headspar/connections/plan.py
@@ -24,7 +24,8 @@
 and is retired.  A server that spreads its connections over workers sees its newest ones busiest.
 
 *Proof.*  A connection is proven by its handshake and by each answer.  What may not be repeated, and what carries
-a key, goes only over one proven within ``proof_us``; other requests may use any that is not due to be retired.
+a key, goes only over one proven within ``proof_us``, or within the longer time that answers to other requests after
+as long idle vouch for; other requests may use any that is not due to be retired.
 
 *Limit.*  How many connections a server accepts is told nowhere.  ``FAILS`` new ones in a row that did not come up,
 or broke before a byte had come, while others to it are answered, set the limit to what was open.  One failure tells
@@ -145,7 +146,7 @@
         "idle_time", "answered_at", "ended_at", "opened_ahead_at", "made_at", "warm", "gone",
     )
 
-    def __init__(self, id: str, told_us: int, pool: Evidence, now: int) -> None:
+    def __init__(self, id: str, told_us: int, pool: Evidence, now: int, proof_us: int) -> None:
         self.id = id
         self.idle: list[_Connection] = []  # the most recently proven last
         self.busy = self.making = self.waiting = 0
@@ -157,7 +158,7 @@
         self.limit_at = 0  # when one beyond it was tried last
         self.limit_wait = AGAIN_US[0]
         self.fails = 0  # new connections in a row that came to nothing
-        self.idle_time = IdleTime(told_us, pool, now)
+        self.idle_time = IdleTime(told_us, pool, now, proof_us)
         self.answered_at = -RECENT_US
         self.ended_at = -BURST_US
         self.opened_ahead_at = self.made_at = now
@@ -222,7 +223,7 @@
         """A server, or the same one started anew or at another address; the connections to the old one that
         have to be closed.  Those in use go on and are not kept."""
         close = self.remove(server)
-        self.servers[server] = _Server(server, self.settings.idle_us, self.evidence, now)
+        self.servers[server] = _Server(server, self.settings.idle_us, self.evidence, now, self.settings.proof_us)
         return close
 
     def remove(self, server: str) -> list[int]:
@@ -297,7 +298,7 @@
             if c.retire_at <= now or now - c.idle_at >= limit:
                 close.append(self._drop(c))
                 continue
-            if proof and now - c.proven_at > self.settings.proof_us:
+            if proof and now - c.proven_at > s.idle_time.trusted_us:
                 break  # the most recently proven: the others are no better
             s.idle.pop()
             del self.idle[c.number]
--- a/tests/connections/test_plan.py
+++ b/tests/connections/test_plan.py
@@ -57,6 +57,36 @@
     assert p.take("a", 2 * S + 999 * MS, proof=True).connection == one
 
 
+def test_answers_after_as_long_idle_vouch_for_a_connection_that_was_proven_long_ago() -> None:
+    """Found on the days of large fleets: each pair of node and server met less than once in the time of a proof, and
+    seven of ten payments opened a connection while lookups went over those that stood idle."""
+    p = plan()
+    a, b = idle(p, "a", 1, 0)[0], idle(p, "b", 1, 0)[0]
+    now = 0
+    for _ in range(40):  # lookups of b, 2 s apart
+        now += 2 * S
+        assert p.take("b", now, proof=False).connection == b
+        p.answered(b, now, keep=True)
+        assert p.take("a", now - S, proof=False).connection == a
+        p.answered(a, now - S, keep=True)
+        p.tick(now)
+    assert p.take("a", now + S, proof=True).connection == a, "idle for 2 s"
+    p.answered(a, now + S, keep=True)
+    assert p.take("a", now + 6 * S, proof=True).answer is Answer.OPEN, "nothing vouches for 5 s"
+
+
+def test_nothing_vouches_beyond_an_idle_time_at_which_connections_break() -> None:
+    told = Evidence(bucket(10 * S) + 1, 0)
+    time = IdleTime(10 * S, told, 0, 900 * MS)
+    for _ in range(200):
+        for idle_us in (1 * S, 2 * S, 4 * S):
+            time.answered(idle_us)
+    for _ in range(8):  # few enough to be kept, too many to send a payment on
+        time.ended(2 * S)
+    assert time.limit_us > 4 * S
+    assert time.trusted_us == FIRST_US << bucket(1 * S) < 2 * S
+
+
 def test_a_connection_due_to_be_retired_is_never_handed_out() -> None:
     p = plan()
     held = idle(p, "a", 2, 0)
