Let answers vouch only for idle times that they had reached themselves

At fault: IdleTime._trusted took an answer after 0.9 s idle for the whole of its bucket, up to 1.6 s. Change: a bucket's answers vouch up to its lower edge.

--- a/headspar/connections/idle_time.py
+++ b/headspar/connections/idle_time.py
@@ -117,8 +117,8 @@
             good, broke = pool.good[k], pool.broke[k] + (own.broke[k] if own is not None else 0.0)
             if broke >= 1.0 and broke > TRUSTED_BREAKS * (good + broke):
                 break
-            if good >= TRUSTED:  # what keeps a connection for longer keeps it for less
-                trusted = FIRST_US << k
+            if good >= TRUSTED:  # what was kept for longer is kept for so long, and for less
+                trusted = max(trusted, FIRST_US << (k - 1))
         return trusted
 
     def _limit(self) -> int:
