Keep a node of a large fleet to twenty servers, so that it meets each of them often

Spread: each server has 11 to 16 of 40 nodes. At fault: Subset.update takes all as long as descriptors suffice; _compare exchanges in the ring's order, the same at neighbouring nodes. Change: from 8 nodes for each server on (reach x nodes / servers) a node keeps to reach = 20; exchanges go in an order of the node's own, four a second. Both are in the operator's file; few nodes or few servers keep to all as before.

--- a/headspar/connections/subset.py
+++ b/headspar/connections/subset.py
@@ -3,6 +3,11 @@
 A node that sends to all of a thousand servers with a third as many descriptors closes a connection and opens
 another for each request.  It is given a part of them instead, its *reach*; the decision module picks among those.
 
+*Met often.*  Where many nodes share many servers, a node's requests are spread so thin that it meets each server
+less than once a second: hardly a connection has been proven of late, what it learns of a server is of long ago, and
+a cold server's part is less than a request.  From ``overlap`` nodes for each server on, a node keeps to ``reach``
+servers, few enough to meet each often and enough to lose many of them.
+
 *Even.*  The servers of each zone stand in one order, by hashes of their cells and ids, the same at every node.
 Node i of n takes the servers from rank i*N/n on, as many as its part of the zone's N: each rank is then covered
 by the same number of nodes, give or take one (the ring of Twitter's deterministic aperture; rendezvous hashing
@@ -10,7 +15,8 @@
 are restarted one after another, stand far apart on the ring.
 
 *Slow.*  One server more or less moves a node's window by a rank at most.  What is gone is made up for at once;
-beyond that one server is exchanged each ``swap_us``.
+beyond that one server is exchanged each ``swap_us``, in an order of the node's own: nodes whose windows overlap would
+all turn to the same new server first.
 
 *Nobody starved.*  Where all nodes together reach fewer servers than there are, the windows turn, a rank each
 ``turn_us``, and every server has its time.
@@ -25,6 +31,7 @@
 from hashlib import blake2b
 from math import gcd
 
+AT_ONCE = 4  # exchanges at one look
 GOLDEN = 0.618  # of the ring, between two nodes that follow one another
 
 
@@ -41,6 +48,8 @@
     room: float = 0.875
     swap_us: int = 1_000_000
     turn_us: int = 4_000_000
+    reach: int = 0
+    overlap: int = 8
 
     def __post_init__(self) -> None:
         for name in ("most", "nodes", "per_server", "swap_us", "turn_us"):
@@ -50,6 +59,12 @@
             raise ValueError("node: must lie in 0 .. nodes - 1")
         if not 0 < self.room <= 1:
             raise ValueError("room: must lie above 0 and at most 1")
+        if self.reach < 0 or self.overlap < 1:
+            raise ValueError("reach: must not be negative; overlap: must be above 0")
+
+    def kept(self, servers: int) -> int:
+        """How many of so many servers a node should keep to for the fleet's size; all, if that is no matter."""
+        return self.reach if 0 < self.overlap * servers <= self.reach * self.nodes else servers
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,7 +138,8 @@
         before = set(self.held)
         self.begun_at = self.begun_at or now
         settings = self.settings
-        self.whole = len(self.members) <= settings.room * settings.most
+        count = len(self.members)
+        self.whole = count <= min(settings.room * settings.most, settings.kept(count))
         if self.whole:
             self.held = set(self.members)
             self.entering, self.leaving, self.zones = [], [], {}
@@ -138,19 +154,23 @@
             if len(self.held) >= self.size:
                 break
             self.held.add(id)
+        if not self.entering:
+            self.swapped_at = now
         self._compare(wanted)
         return _change(before, self.held)
 
     def tick(self, now: int) -> Change:
-        """Exchange one server for another if that is due."""
+        """Exchange the servers that are due; after a long pause no more than one look's worth, ``AT_ONCE``."""
         settings = self.settings
-        if self.whole or now - self.swapped_at < settings.swap_us:
+        due = min(AT_ONCE, (now - self.swapped_at) // settings.swap_us)
+        if self.whole or due < 1:
             return Change([], [])
         self.swapped_at = now
         if self._turning():
             self._compare(self.wanted(now))
-        entered = [self.entering.pop()] if self.entering else []
-        left = [self.leaving.pop()] if self.leaving and len(self.held) + len(entered) > self.size else []
+        entered = [self.entering.pop() for _ in range(min(due, len(self.entering)))]
+        surplus = min(due, len(self.leaving), len(self.held) + len(entered) - self.size)
+        left = [self.leaving.pop() for _ in range(surplus)]
         self.held.update(entered)
         self.held.difference_update(left)
         return Change(entered, left)
@@ -180,12 +200,16 @@
         self.zones = {}
         for id in sorted(self.members, key=self.keys.__getitem__):
             self.zones.setdefault(self.members[id].zone, []).append(id)
-        want = max(1, len(self.zones), self.settings.most // self.settings.per_server)
-        self.size = min(len(self.members), want)
+        settings, count = self.settings, len(self.members)
+        want = count if count <= settings.room * settings.most else settings.most // settings.per_server
+        self.size = min(count, max(1, len(self.zones), min(want, settings.kept(count))))
 
     def _compare(self, wanted: set[str]) -> None:
-        self.entering = sorted(wanted - self.held, key=self.keys.__getitem__)
-        self.leaving = sorted(self.held - wanted, key=self.keys.__getitem__)
+        def own(id: str) -> bytes:
+            return _hash(f"{self.settings.node}/{id}")
+
+        self.entering = sorted(wanted - self.held, key=own)
+        self.leaving = sorted(self.held - wanted, key=own)
 
 
 def _key(m: Member) -> tuple[bytes, bytes]:
--- a/headspar/model/node.py
+++ b/headspar/model/node.py
@@ -13,7 +13,7 @@
 
 from headspar import interface
 from headspar.connections.plan import Answer, Plan
-from headspar.connections.subset import Subset, SubsetSettings
+from headspar.connections.subset import Subset
 from headspar.connections.waiters import Waiters
 from headspar.decide import Balancer
 from headspar.interface import (
@@ -38,7 +38,7 @@
 from headspar.model.events import Events, Handle
 from headspar.model.servers import CashServer, Connection
 from headspar.node.backends import plan_settings
-from headspar.node.reach import Reach
+from headspar.node.reach import Reach, subset_settings
 from headspar.operator_file import Connections as ConnectionsTable
 
 if TYPE_CHECKING:
@@ -100,10 +100,7 @@
         self.servers, self.to_caller, self.to_peers = servers, answered, tell
         self.balancer = Balancer(settings, seed)
         self.plan = Plan(plan_settings(file, settings, most), settings.me)
-        self.reach = Reach(Subset(SubsetSettings(
-            most, settings.me, settings.balancers, file.per_server, file.room,
-            max(1, int(1e6 * file.swap_s)), max(1, int(1e6 * file.turn_s)),
-        )))
+        self.reach = Reach(Subset(subset_settings(file, settings, most)))
         self.watcher: Watcher
         self.repeatable = {c.name for c in settings.classes if c.effect.value == "retryable"}
         self.hosts: dict[str, Host] = {}
--- a/headspar/node/reach.py
+++ b/headspar/node/reach.py
@@ -8,8 +8,17 @@
 
 from dataclasses import replace
 
-from headspar.connections.subset import Change, Member, Subset
+from headspar.connections.subset import Change, Member, Subset, SubsetSettings
 from headspar.interface import BackendEntry, BackendList, Health, ListKind, Settings
+from headspar.operator_file import Connections
+
+
+def subset_settings(file: Connections, settings: Settings, most: int) -> SubsetSettings:
+    """The reach's settings from the operator's file and the node's settings; ``most``: connections in all."""
+    return SubsetSettings(
+        most, settings.me, settings.balancers, file.per_server, file.room,
+        max(1, int(1e6 * file.swap_s)), max(1, int(1e6 * file.turn_s)), file.reach, file.overlap,
+    )
 
 
 class Reach:
--- a/headspar/operator_file.py
+++ b/headspar/operator_file.py
@@ -36,14 +36,18 @@
     handshakes_per_s: float = 500.0  # of all nodes with one warm server; a cold one gets its share
     per_server: int = 2  # connections that a server in reach should be able to have
     room: float = 0.875  # of the descriptors, for one connection to every server, before a part is chosen
-    swap_s: float = 1.0  # between two exchanges of a server in reach
+    reach: int = 20  # servers that a node of a large fleet keeps to; 0: all
+    overlap: int = 8  # nodes that each server must then have at least
+    swap_s: float = 0.25  # between two exchanges of a server in reach
     turn_s: float = 4.0  # between two steps of the windows, where all nodes together reach too few
 
     def __post_init__(self) -> None:
-        above = ("proof_ms", "making", "pace_ms", "age_s", "handshakes_per_s", "per_server", "swap_s", "turn_s")
+        above = (
+            "proof_ms", "making", "pace_ms", "age_s", "handshakes_per_s", "per_server", "overlap", "swap_s", "turn_s",
+        )
         for name in above:
             _want(getattr(self, name) > 0, name, f"must be above 0, not {getattr(self, name)!r}")
-        for name in ("waiting", "ahead"):
+        for name in ("waiting", "ahead", "reach"):
             _want(getattr(self, name) >= 0, name, f"must not be negative, not {getattr(self, name)!r}")
         _want(0 <= self.age_jitter < 1, "age_jitter", f"must lie in 0 .. 1, below 1, not {self.age_jitter!r}")
         _want(0 < self.room <= 1, "room", f"must lie above 0 and at most 1, not {self.room!r}")
--- a/headspar/process.py
+++ b/headspar/process.py
@@ -14,7 +14,7 @@
 from typing import TYPE_CHECKING
 
 from headspar.config import Address, Config, ConfigError, load_config
-from headspar.connections.subset import Subset, SubsetSettings
+from headspar.connections.subset import Subset
 from headspar.handover import meeting, shares
 from headspar.handover.beliefs import Beliefs, BeliefsError, decode, encode
 from headspar.handover.giver import Giver
@@ -26,7 +26,7 @@
 from headspar.node.core import Node, now_us
 from headspar.node.discovery import Discovery
 from headspar.node.peers import Peers
-from headspar.node.reach import Reach
+from headspar.node.reach import Reach, subset_settings
 from headspar.operations import listener as operators
 from headspar.operations.calls import Calls
 from headspar.operations.lifecycle import Cause, State
@@ -78,10 +78,7 @@
         file = config.operator.connections
         most = self.alone_share.backends
         node.backends = Backends(node, most, budget, file)
-        node.reach = Reach(Subset(SubsetSettings(
-            most, config.settings.me, config.settings.balancers, file.per_server, file.room,
-            max(1, int(1e6 * file.swap_s)), max(1, int(1e6 * file.turn_s)),
-        )))
+        node.reach = Reach(Subset(subset_settings(file, config.settings, most)))
         node.recorder = recorder(config, node)
         node.discovery = Discovery(node, node.backends, config.discovery)
         self.server = Server(node, self.alone_share.clients, self.alone_share.spare, budget)
--- a/tests/connections/test_subset.py
+++ b/tests/connections/test_subset.py
@@ -165,3 +165,44 @@
 def test_settings_that_cannot_be_are_named(changes: dict[str, float]) -> None:
     with pytest.raises(ValueError, match=next(iter(changes))):
         SubsetSettings(**{"most": 9, **changes})  # type: ignore[arg-type]
+
+
+def test_nodes_of_a_large_fleet_keep_to_few_servers_each_and_every_server_has_enough_nodes() -> None:
+    """Found on the days of large fleets: a node met each of 60 servers every 2.5 s and learned of none in time."""
+    members = [Member(f"s{i}", "abc"[i % 3], i % 8) for i in range(60)]
+    fleet = [Subset(SubsetSettings(200, i, 40, reach=20, overlap=8)) for i in range(40)]
+    for subset in fleet:
+        subset.update(members, 0)
+        assert len(subset.held) == 20 and abs(subset.cover() - 1 / 3) < 1e-9
+        assert {"abc"[int(id[1:]) % 3] for id in subset.held} == set("abc")
+    nodes = [sum(m.id in subset.held for subset in fleet) for m in members]
+    assert 11 <= min(nodes) <= max(nodes) <= 16, nodes
+
+
+def test_few_nodes_or_few_servers_keep_to_all() -> None:
+    members = [Member(f"s{i}") for i in range(60)]
+    for nodes, count, kept in ((23, 60, 60), (24, 60, 20), (40, 20, 20), (40, 19, 19), (2, 60, 60)):
+        subset = Subset(SubsetSettings(200, 0, nodes, reach=20, overlap=8))
+        subset.update(members[:count], 0)
+        assert len(subset.held) == kept, (nodes, count)
+    everything = Subset(SubsetSettings(200, 0, 40))
+    everything.update(members, 0)
+    assert everything.whole
+
+
+def test_nodes_turn_to_new_servers_in_different_orders_and_soon() -> None:
+    """Found with a zone that came back: nodes whose windows overlap all turned to the same server first."""
+    fleet = [Subset(SubsetSettings(200, i, 40, reach=20, swap_us=S // 4)) for i in range(40)]
+    old = [Member(f"s{i}") for i in range(32)]
+    new = [Member(f"n{i}") for i in range(28)]
+    first = []
+    for subset in fleet:
+        subset.update(old, 0)
+        subset.update(old + new, S)
+        change = subset.tick(S + S // 4)
+        assert len(change.entered) <= 1 and len(change.left) == len(change.entered)
+        first += change.entered
+        for k in range(1, 6):
+            assert len(subset.tick(S + S // 4 + k * S).entered) <= 4, "a late look makes up for no more"
+        assert subset.held == subset.wanted(6 * S) and len(subset.held) == 20
+    assert len(set(first)) > 14, "one after another, all 40 would have begun with the last in the ring's order"
