Hold K up by what servers finish, so that late servers are not left empty

Checked in the line of work of tests/test_fleet.py at 1.3 and 1.6 times what is carried: with slope 2 what is admitted swings between 0.29 and 1.48 of it, mean 0.94; a shorter lag of K alone swings from 0 to 1.60; held up by what is finished 0.84 to 1.23, mean 0.99. At fault: Capacity._learn_k goes by lateness alone, which says that there is a line and not how much leaves it. Change: K is no lower than what is finished, less a part by lateness that drains the line (DRAIN 0.7); K_SLOPE 2 -> 1.5, K_LAG 1.5 s -> 1 s.

--- a/headspar/decide.py
+++ b/headspar/decide.py
@@ -84,8 +84,9 @@
 CRITICAL = 0.62
 USED_BOUNDS = (0.95, 0.97)  # share of Nm_i in use that a pick assumes: low values herd onto the fastest
 EVIDENCE_US = 1_000_000
-K_SLOPE = 2.0  # steeper, all nodes refuse and admit in step: lateness tells of load a second and more ago
-K_LAG_US = 1_500_000
+K_SLOPE = 1.5  # steeper, all nodes refuse and admit in step: lateness tells of load a second and more ago
+K_LAG_US = 1_000_000
+DRAIN = 0.7  # of what is finished, the least that is admitted; and the cut for each aim by which answers are late
 PEER_WEIGHT = 0.7
 PEER_SHARE = 0.4  # full messages a request: at a price of a point each, four tenths of a point
 PEER_STALE_US = 3_000_000
@@ -393,6 +394,10 @@
         young = self.proven < EVIDENCE_US
         least = edge if young else 0.1
         want = max(carried, offered) * min(4.0, max(least, edge + K_SLOPE * (CRITICAL - self.pressure)))
+        # Servers that are late finish what they can carry: K falls short of it by as much as drains the line of what
+        # waits, no further.  Nodes that all cut by lateness alone leave servers empty until they hear of it.
+        done = edge * self.served_rate * self.linger_us / 1e6 / self.sound
+        want = max(want, done * max(DRAIN, 1.0 - DRAIN * (self.pressure - CRITICAL)))
         if want > self.k and (young or self.acc > ACC_FLOOR):
             self.k = want  # all that is asked is answered promptly: a jump of it is no overload
         else:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -107,5 +107,5 @@
     let all in again seconds later, over and over."""
     for load in (1.3, 1.6):
         over = admitted(1.0, load, 50.0)[50:]  # from ten seconds after the loss on
-        assert 0.92 < sum(over) / len(over) < 1.1, load
-        assert min(over) > 0.25, load
+        assert 0.95 < sum(over) / len(over) < 1.1, load
+        assert min(over) > 0.7, load
