Keep a node of a large fleet to twelve servers, six nodes for each server at least

Checked: what vouches for idle connections can't help there (the closes are real: 8 of them between 1.6 and 3.2 s in the evidence of one node); descriptors were plenty. Change: reach 20 -> 12, overlap 8 -> 6.

--- a/headspar/connections/subset.py
+++ b/headspar/connections/subset.py
@@ -49,7 +49,7 @@
     swap_us: int = 1_000_000
     turn_us: int = 4_000_000
     reach: int = 0
-    overlap: int = 8
+    overlap: int = 6
 
     def __post_init__(self) -> None:
         for name in ("most", "nodes", "per_server", "swap_us", "turn_us"):
--- a/headspar/operator_file.py
+++ b/headspar/operator_file.py
@@ -36,8 +36,8 @@
     handshakes_per_s: float = 500.0  # of all nodes with one warm server; a cold one gets its share
     per_server: int = 2  # connections that a server in reach should be able to have
     room: float = 0.875  # of the descriptors, for one connection to every server, before a part is chosen
-    reach: int = 20  # servers that a node of a large fleet keeps to; 0: all
-    overlap: int = 8  # nodes that each server must then have at least
+    reach: int = 12  # servers that a node of a large fleet keeps to; 0: all
+    overlap: int = 6  # nodes that each server must then have at least
     swap_s: float = 0.25  # between two exchanges of a server in reach
     turn_s: float = 4.0  # between two steps of the windows, where all nodes together reach too few
 
