--- a/headspar/decide.py
+++ b/headspar/decide.py
@@ -518,7 +518,7 @@
         per_unit = max(c.steady, c.served_rate / c.capacity_sum)
         if per_unit <= 0.0:
             per_unit = c.work_rate / len(self.pool)
-        # Gentle while there is plenty; from the load of an ordinary day on a cold server does its part like a warm one.
+        # Gentle while there is plenty; from an ordinary load on a cold server does its part like a warm one.
         plenty = max(0.0, c.acc - COLD_PLENTY) / (1.0 - COLD_PLENTY)
         rate = (1.0 - (1.0 - COLD_SAFETY) * plenty) * warm * per_unit
         return s.fall_multiple * warm * per_unit * c.senders * s.fall_us / 1e6, rate
