Let a node say what it is, and start beside another process or not at all

Need: who changes a fleet in stages must know which program, settings and generation a process runs, and prove which process it is before a signal; a start beside another must not listen by itself where the hand-over can't be had. Change: GET /identity on the operators' address (digests, generation, epoch, pid with start and boot, servers cold now), read only when it is asked for; HEADSPAR_BESIDE=only ends with status 4 before it listens. /stats keeps its form.

--- a/headspar/__main__.py
+++ b/headspar/__main__.py
@@ -12,6 +12,8 @@
 from headspar.handover import meeting, taker
 from headspar.process import serve
 
+NO_HANDOVER = 4  # the exit status of a start that was to be beside another process only
+
 
 def say(text: str) -> None:
     print(text, file=sys.stderr, flush=True)
@@ -27,6 +29,9 @@
     if soft < config.sockets and (hard == resource.RLIM_INFINITY or hard >= config.sockets):
         resource.setrlimit(resource.RLIMIT_NOFILE, (config.sockets, hard))
     taken = taker.ask(meeting.place(os.environ, config.listen), config.name, say)
+    if taken is None and os.environ.get("HEADSPAR_BESIDE") == "only":
+        say("headspar: no hand-over to be had, and none other wanted")
+        return NO_HANDOVER
     try:
         uvloop.run(serve(config, taken))
     except ConfigError as error:
--- a/headspar/config.py
+++ b/headspar/config.py
@@ -38,6 +38,7 @@
     settings: Settings
     operator: Operator
     shape: dict[str, frozenset[str]]  # which keys the file holds
+    raw_settings: Any  # the settings as the file holds them
 
 
 def parse_address(text: object, field: str) -> Address:
@@ -125,4 +126,5 @@
         settings=settings,
         operator=_operator(environ),
         shape=shape(raw),
+        raw_settings=raw["settings"],
     )
--- a/headspar/operations/calls.py
+++ b/headspar/operations/calls.py
@@ -33,11 +33,15 @@
 class Calls:
     """The calls of one process."""
 
-    def __init__(self, lifecycle: Lifecycle, figures: Callable[[], dict[str, Any]]) -> None:
-        self.lifecycle, self.figures = lifecycle, figures
+    def __init__(
+        self, lifecycle: Lifecycle, figures: Callable[[], dict[str, Any]],
+        identity: Callable[[], dict[str, Any]] = dict,
+    ) -> None:
+        self.lifecycle, self.figures, self.identity = lifecycle, figures, identity
         self.table: dict[str, tuple[str, Callable[[], Reply]]] = {
             "/healthcheck": ("GET", self._healthcheck),
             "/stats": ("GET", lambda: Reply(200, self.figures())),
+            "/identity": ("GET", lambda: Reply(200, self.identity())),
             "/healthcheck/fail": ("POST", lambda: self._move(Cause.FAIL)),
             "/healthcheck/ok": ("POST", lambda: self._move(Cause.OK)),
         }
--- a/headspar/process.py
+++ b/headspar/process.py
@@ -11,7 +11,7 @@
 from collections.abc import Coroutine
 from dataclasses import replace
 from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from headspar.config import Address, Config, ConfigError, load_config
 from headspar.connections.subset import Subset
@@ -21,6 +21,7 @@
 from headspar.handover.messages import Held, Offer
 from headspar.handover.sides import Giving
 from headspar.handover.taker import Taken, Taker
+from headspar.identity import Identity, settings_digest
 from headspar.node.backends import Backends, Budget
 from headspar.node.clients import Client, Server
 from headspar.node.core import Node, now_us
@@ -82,7 +83,8 @@
         node.recorder = recorder(config, node)
         node.discovery = Discovery(node, node.backends, config.discovery)
         self.server = Server(node, self.alone_share.clients, self.alone_share.spare, budget)
-        self.calls = Calls(node.lifecycle, node.figures)
+        self.identity = Identity(config.name, os.environ, taken is not None)
+        self.calls = Calls(node.lifecycle, node.figures, self._identity)
         self.ops: operators.Listener | None = None
         self.peers_socket: socket.socket | None = None
         self.listening: asyncio.Server | None = None
@@ -147,6 +149,11 @@
             beliefs.known = self.config.known
         return beliefs
 
+    def _identity(self) -> dict[str, Any]:
+        entries, ramp, now = self.node.reach.entries, self.node.settings.ramp_us, now_us()
+        cold = sum(0 <= now - entry.started_at_us < ramp for entry in entries.values())
+        return self.identity.shown(settings_digest(self.config.raw_settings), len(entries), cold)
+
     async def _listen(self) -> None:
         """Accept clients, on a copy: the socket itself is kept for a successor, or to listen again."""
         server = self.server
--- a/tests/operations/test_calls_on_sockets.py
+++ b/tests/operations/test_calls_on_sockets.py
@@ -12,6 +12,8 @@
 
 import pytest
 
+from headspar.__main__ import NO_HANDOVER
+from headspar.identity import PACKAGE, settings_digest, start_ticks, tree_digest
 from tests.loopback import PATIENCE, Node, answer, free_address, reset, running, text, wait_for
 
 
@@ -43,6 +45,40 @@
     assert twice.count(b"HTTP/1.1 ") == 1
 
 
+def test_a_node_says_what_it_is(node: Node) -> None:
+    status, first = node.call("/identity")
+    raw = node.configuration()
+    assert status == 200
+    assert (first["pid"], first["started"]) == (node.process.pid, start_ticks(node.process.pid))
+    assert (first["program"], first["settings"]) == (tree_digest(PACKAGE), settings_digest(raw["settings"]))
+    assert first["handed_over"] is False and first["servers"] == 2
+    raw["settings"]["policy_limits"]["try_limit"] = 3
+    node.reconfigure(raw)
+    wait_for(lambda: node.call("/identity")[1]["settings"] == settings_digest(raw["settings"]))
+    node.reconfigure("{")  # one that is no good changes nothing
+    wait_for(lambda: node.call("/stats")[1]["reload_failure"] == 1)
+    assert node.call("/identity")[1]["settings"] == settings_digest(raw["settings"])
+    node.reconfigure(raw)
+    node.env |= {"HEADSPAR_GENERATION": "g-2", "HEADSPAR_EPOCH": "7"}
+    node.upgrade()
+    second = node.call("/identity")[1]
+    assert second["pid"] == node.process.pid != first["pid"]
+    assert (second["generation"], second["epoch"], second["handed_over"]) == ("g-2", 7, True)
+
+
+def test_a_start_that_wants_the_hand_over_or_nothing_listens_nowhere_without_it(node: Node) -> None:
+    node.env["HEADSPAR_BESIDE"] = "only"
+    node.upgrade()  # there is one to take over from
+    with node.client() as client:
+        assert client.ask().status == 200
+    node.env["TMPDIR"] += "/elsewhere"
+    first = node.process
+    node.start(healthy=False)
+    assert node.process.wait(PATIENCE) == NO_HANDOVER
+    node.process = first
+    assert node.health() == 200 and "no hand-over to be had" in node.log.read_text()
+
+
 def test_callers_that_hold_connections_keep_nobody_out(node: Node) -> None:
     assert node.ops is not None
     before = node.files()
