Hold a node with a keeper: trials beside the old process, a way back, fenced commands

Need: a change in stages needs something on each machine that outlives its controller, brings a node to a generation and back, and refuses what comes late, twice or from a controller whose turn is over.

--- a/headspar/operator_file.py
+++ b/headspar/operator_file.py
@@ -73,6 +73,78 @@
     beliefs: bool = True  # whether a process goes on from what the one before it has learned
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeeperTable:
+    """``[keeper]``: the process that holds a node through changes; see docs/operators/rollout.md.  Seconds."""
+
+    folder: str = ""  # where its generations, state and logs lie
+    host: str = ""  # the machine's own part of its node's configuration
+    listen: str = ""  # where controllers reach it
+    first: str = ""  # the generation that a machine begins with, as a folder
+    start_s: float = 20.0  # for a process to say yes
+    drain_s: float = 5.0  # for clients to go, where it must be started anew
+    end_s: float = 8.0  # from SIGTERM to SIGKILL; longer than the longest deadline and 0.7
+    pause_s: float = 0.25  # before a second start in a row; it doubles
+    ceiling_s: float = 30.0  # no longer than this
+    spread_s: float = 0.5  # within it the first start is drawn
+    healthy_s: float = 60.0  # after so long, deaths before are forgotten
+
+    def __post_init__(self) -> None:
+        for name in ("start_s", "drain_s", "end_s", "pause_s", "ceiling_s", "spread_s", "healthy_s"):
+            _want(getattr(self, name) > 0, name, f"must be above 0, not {getattr(self, name)!r}")
+        _want(self.ceiling_s >= self.pause_s, "ceiling_s", f"must be at least pause_s, not {self.ceiling_s!r}")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RolloutTable:
+    """``[rollout]``: how a change goes over the fleet; see docs/operators/rollout.md.  Seconds."""
+
+    record: str = ""  # the controller's record, a file
+    fleet: str = ""  # the list of keepers, in TOML
+    shares: str = "0.1 0.3 1"  # of the fleet, after the first node and one node of each site
+    max_out: int = 2  # nodes out at once, for whatever reason
+    max_out_site: int = 1
+    headroom: float = 1.3  # capacity that must stay in a site, over its present load; 0: not looked at
+    node_rps: float = 0.0  # what one node can carry; 0: not known, and capacity not looked at
+    cold_most: float = 0.3  # share of servers that are cold now, beyond which nothing is started anew
+    proving_s: float = 20.0  # a trial serves so long before it counts
+    settle_s: float = 5.0  # between two stages
+    ready_s: float = 60.0  # for a node that was told to change
+    lost_s: float = 10.0  # without a word of a node that was changed
+    on_failure: str = "back"  # or "pause"
+    silence: str = "hold"  # or "back": what keepers do without a controller
+    silence_s: float = 60.0
+    slot_s: float = 60.0  # a slot in which a keeper may then move
+    lease_s: float = 10.0
+    poll_s: float = 0.5
+    restart: bool = True  # whether nodes may be drained and started anew where there is no hand-over
+
+    def __post_init__(self) -> None:
+        above = ("proving_s", "ready_s", "lost_s", "silence_s", "slot_s", "lease_s", "poll_s")
+        for name in above:
+            _want(getattr(self, name) > 0, name, f"must be above 0, not {getattr(self, name)!r}")
+        for name in ("headroom", "node_rps", "settle_s"):
+            _want(getattr(self, name) >= 0, name, f"must not be negative, not {getattr(self, name)!r}")
+        for name in ("max_out", "max_out_site"):
+            _want(getattr(self, name) >= 1, name, f"must be at least 1, not {getattr(self, name)!r}")
+        _want(0 < self.cold_most <= 1, "cold_most", f"must lie above 0 and at most 1, not {self.cold_most!r}")
+        _want(self.on_failure in ("back", "pause"), "on_failure", f"must be back or pause, not {self.on_failure!r}")
+        _want(self.silence in ("back", "hold"), "silence", f"must be back or hold, not {self.silence!r}")
+        _want(self.lease_s > 4 * self.poll_s, "lease_s", f"must be above 4 times poll_s, not {self.lease_s!r}")
+        shares = parse_shares(self.shares)
+        _want(shares is not None, "shares", f"needs rising numbers above 0 that end with 1, not {self.shares!r}")
+
+
+def parse_shares(text: str) -> list[float] | None:
+    """Rising shares above 0 that end with 1; None if it is anything else."""
+    try:
+        shares = [float(word) for word in text.split()]
+    except ValueError:
+        return None
+    rising = all(a < b for a, b in zip([0.0, *shares], shares, strict=False))
+    return shares if shares and rising and shares[-1] == 1 else None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Operator:
     """The whole file."""
@@ -80,6 +152,8 @@
     connections: Connections = dataclasses.field(default_factory=Connections)
     recorder: RecorderTable = dataclasses.field(default_factory=RecorderTable)
     handover: HandoverTable = dataclasses.field(default_factory=HandoverTable)
+    keeper: KeeperTable = dataclasses.field(default_factory=KeeperTable)
+    rollout: RolloutTable = dataclasses.field(default_factory=RolloutTable)
 
 
 def _want(good: bool, field: str, text: str) -> None:
--- /dev/null
+++ b/tests/keeper/test_core.py
@@ -0,0 +1,392 @@
+"""The keeper's decisions: the ways of a trial, by hand, and drawn orders of all that can happen."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+
+from headspar.keeper.core import (
+    COURSES,
+    PHASES,
+    Core,
+    Course,
+    Drain,
+    Kill,
+    Lasting,
+    Order,
+    Phase,
+    Proc,
+    Reload,
+    Start,
+    Term,
+    Timing,
+    Undrain,
+)
+from headspar.keeper.pauses import Pauses, PauseSettings
+from headspar.keeper.slots import Slot
+
+OLD, NEW, LIKE = "old", "new", "like-old"  # LIKE differs from OLD in settings alone
+
+
+class Machine:
+    """A core with processes that do as they are told, when they are told to."""
+
+    def __init__(self, present: str = OLD, seed: int = 1) -> None:
+        self.now = 100.0
+        self.moves: list[tuple[str, str, str, str]] = []
+        pauses = Pauses(PauseSettings(), random.Random(seed))
+        self.core = Core(Timing(), pauses, lambda a, b: {a, b} <= {OLD, LIKE}, self.said)
+        self.live: dict[int, str] = {}
+        self.begun: list[Start] = []
+        self.log: list[object] = []
+        self.answers = True
+        self.core.resume(Lasting(present=present), [], None, None, self.now)
+
+    def said(self, table: str, before: str, cause: str, after: str) -> None:
+        self.moves.append((table, before, cause, after))
+
+    def do(self, actions: list[object]) -> None:
+        for action in actions:
+            self.log.append(action)
+            if isinstance(action, Start):
+                self.live[action.key] = action.generation
+                self.begun.append(action)
+
+    def run(self, seconds: float) -> None:
+        end = self.now + seconds
+        while self.now < end:
+            self.now += 0.05
+            self.do(list(self.core.advance(self.now)))
+
+    def ready(self, key: int | None = None) -> None:
+        key = key if key is not None else self.core.coming
+        assert key is not None
+        self.do(list(self.core.ready(key, self.now)))
+
+    def end(self, key: int, no_handover: bool = False) -> None:
+        del self.live[key]
+        self.do(list(self.core.ended(key, no_handover, self.now)))
+
+    def serve(self) -> Machine:
+        self.run(1)
+        self.ready()
+        return self
+
+    def order(self, generation: str = NEW, **more: object) -> None:
+        order = Order("c", generation, 10.0, **more)  # type: ignore[arg-type]
+        assert self.core.refusal(order) == ""
+        self.do(list(self.core.try_(order, self.now)))
+
+    def last(self, kind: type) -> object:
+        return next(a for a in reversed(self.log) if isinstance(a, kind))
+
+    def old_ends(self) -> None:
+        for key in [k for k in self.live if k not in (self.core.serving, self.core.coming)]:
+            self.end(key)
+
+
+def test_a_trial_beside_the_old_one_proven_and_confirmed() -> None:
+    m = Machine().serve()
+    m.order()
+    start = m.begun[-1]
+    assert start.beside and start.generation == NEW and m.core.running == OLD
+    m.ready()
+    assert m.last(Term) == Term(1) and m.core.running == NEW and m.core.state == "proving"
+    m.old_ends()
+    assert not m.core.proved(m.now)
+    m.run(10.1)
+    assert m.core.proved(m.now) and m.core.lasting.present == OLD
+    assert m.core.confirm(m.now)
+    assert (m.core.lasting.present, m.core.lasting.before, m.core.state) == (NEW, OLD, "serving")
+    assert m.core.lasting.outcome is not None and m.core.lasting.outcome.result == "confirmed"
+
+
+def test_a_trial_that_does_not_start_leaves_the_old_one_where_it_is() -> None:
+    m = Machine().serve()
+    m.order()
+    for _ in range(2):
+        assert m.core.coming is not None
+        m.end(m.core.coming)
+        m.run(1.5)
+    assert m.core.running == OLD and m.core.state == "serving" and m.core.course is Course.SETTLED
+    assert m.core.lasting.outcome is not None and "failed to start 2 times" in m.core.lasting.outcome.reason
+    assert not any(isinstance(a, Term | Kill) for a in m.log) and m.core.restarts == 0
+
+
+def test_one_that_never_says_yes_is_killed_and_counts_as_failed() -> None:
+    m = Machine().serve()
+    m.order()
+    m.run(Timing().start + 0.2)
+    assert m.last(Kill) == Kill(2)
+    m.end(2)
+    assert m.core.lasting.deaths == 1 and m.core.running == OLD
+
+
+def test_a_trial_that_dies_twice_goes_back_untold_and_after_proving_it_does_not() -> None:
+    m = Machine().serve()
+    m.order()
+    m.ready()
+    m.old_ends()
+    m.run(3)
+    m.end(2)  # the first death: started again, as it is
+    m.run(1)
+    assert m.begun[-1].generation == NEW and not m.begun[-1].beside
+    m.ready()
+    m.run(3)
+    m.end(3)
+    assert m.core.state == "going back"
+    m.run(1)
+    assert m.begun[-1].generation == OLD
+    m.ready()
+    assert m.core.running == OLD and m.core.state == "serving" and m.core.restarts == 2
+
+    m = Machine().serve()
+    m.order()
+    m.ready()
+    m.old_ends()
+    m.run(200)
+    for _ in range(2):  # proven each time before it dies
+        assert m.core.serving is not None
+        m.end(m.core.serving)
+        m.run(1)
+        assert m.begun[-1].generation == NEW and m.core.course is Course.PROVING
+        m.ready()
+        m.run(20)
+
+
+def test_without_a_hand_over_it_is_drained_and_started_or_left_where_that_is_not_allowed() -> None:
+    m = Machine().serve()
+    m.order()
+    m.end(2, no_handover=True)
+    assert m.last(Drain) == Drain(1) and m.core.phase is Phase.DRAINING
+    m.do(list(m.core.drained_(1, m.now)))
+    assert m.last(Term) == Term(1)
+    m.end(1)
+    assert m.begun[-1] == Start(3, NEW, False)
+    m.ready()
+    assert m.core.state == "proving" and m.core.restarts == 0
+
+    m = Machine().serve()
+    m.order(restart=False)
+    m.end(2, no_handover=True)
+    assert m.core.running == OLD and m.core.course is Course.SETTLED
+    assert m.core.lasting.outcome is not None and "no hand-over" in m.core.lasting.outcome.reason
+
+
+def test_a_drain_is_called_off_when_the_change_is() -> None:
+    m = Machine().serve()
+    m.order()
+    m.end(2, no_handover=True)
+    m.do(list(m.core.back(OLD, "told", m.now)))
+    assert m.last(Undrain) == Undrain(1) and m.core.state == "serving" and m.core.course is Course.SETTLED
+
+
+def test_going_back_from_one_that_hangs_ends_it_by_force() -> None:
+    m = Machine().serve()
+    m.order()
+    m.ready()
+    m.old_ends()
+    m.do(list(m.core.back(OLD, "told", m.now)))
+    assert m.begun[-1] == Start(3, OLD, True)
+    m.end(3, no_handover=True)  # the hanging one offers nothing
+    m.run(Timing().drain + 0.2)  # and is not drained either
+    assert m.last(Term) == Term(2)
+    m.run(Timing().end + 0.2)
+    assert m.last(Kill) == Kill(2)
+    m.end(2)
+    assert m.begun[-1] == Start(4, OLD, False)
+    m.ready()
+    assert m.core.course is Course.SETTLED and m.core.running == OLD
+
+
+def test_settings_alone_go_by_signal_and_settings_turned_down_go_back() -> None:
+    m = Machine().serve()
+    m.order(LIKE)
+    assert m.last(Reload) == Reload(1, LIKE) and len(m.begun) == 1
+    m.do(list(m.core.reloaded(1, True, "", m.now)))
+    assert m.core.running == LIKE and m.core.state == "proving"
+    m.do(list(m.core.back(OLD, "told", m.now)))
+    m.do(list(m.core.reloaded(1, True, "", m.now)))
+    assert m.core.running == OLD and m.core.state == "serving"
+    m.order(LIKE)
+    m.do(list(m.core.reloaded(1, False, "limits", m.now)))
+    assert m.core.running == OLD and m.core.course is Course.SETTLED
+    assert m.core.lasting.outcome is not None and "limits" in m.core.lasting.outcome.reason
+
+
+def test_silence_goes_back_in_its_own_slot_only() -> None:
+    m = Machine().serve()
+    m.core.heard(0.0, m.now)
+    m.order(silence="back", silence_s=5.0, slot=Slot(2, 4, 30.0))
+    m.ready()
+    m.old_ends()
+    m.core.heard(0.0, m.now)
+    m.run(59)
+    assert m.core.state == "proving"
+    m.run(10)
+    assert m.core.state == "going back" and 60 <= m.now - 101 < 71
+    held = Machine().serve()
+    held.order(silence="hold", silence_s=5.0)
+    held.ready()
+    held.run(200)
+    assert held.core.course is Course.PROVING
+
+
+def test_a_hold_before_the_confirming_outlasts_any_silence() -> None:
+    m = Machine().serve()
+    m.order(silence="back", silence_s=5.0)
+    m.ready()
+    m.core.hold(m.now)
+    m.run(100)
+    assert m.core.course is Course.PROVING
+
+
+def test_what_can_not_be_started_is_held_and_tried_on() -> None:
+    m = Machine()
+    for _ in range(Timing().hopeless):
+        while m.core.coming is None:
+            m.run(1)
+        m.end(m.core.coming)
+    assert m.core.state == "held"
+    while m.core.coming is None:
+        m.run(1)
+    m.ready()
+    assert m.core.state == "serving" and m.core.course is Course.SETTLED
+
+
+def test_a_process_of_a_generation_that_the_state_does_not_know_is_on_trial() -> None:
+    m = Machine()
+    m.core.resume(Lasting(present=OLD), [Proc(7, NEW, 0.0, 0.0)], 7, None, m.now)
+    assert m.core.state == "proving" and m.core.trial == NEW and m.core.lasting.present == OLD
+    m.core.resume(Lasting(), [Proc(7, NEW, 0.0, 0.0)], 7, None, m.now)
+    assert m.core.state == "serving" and m.core.lasting.present == NEW
+
+
+def test_nodes_that_die_together_do_not_start_in_step() -> None:
+    starts = []
+    for seed in range(200):
+        m = Machine(seed=seed).serve()
+        m.end(1)
+        starts.append(m.core.start_at - m.now)
+    counts = Counter(int(s / 0.05) for s in starts)
+    assert max(starts) <= 0.5 and len(counts) >= 9 and max(counts.values()) <= 45
+
+
+class Orders(RuleBasedStateMachine):
+    """All that can happen to a keeper in any order: no transition that the tables lack (it would raise ``KeyError``),
+    never a start beside more than one process, and in quiet times it gets to what is wanted."""
+
+    @initialize(seed=st.integers(0, 1000))
+    def begin(self, seed: int) -> None:
+        self.m = Machine(seed=seed)
+        self.good = {OLD: True, NEW: True, LIKE: True}
+        self.step = 0
+
+    def keys(self) -> list[int]:
+        return sorted(self.m.live)
+
+    @rule(seconds=st.sampled_from([0.06, 0.6, 3.0, 25.0]))
+    def wait(self, seconds: float) -> None:
+        self.m.run(seconds)
+
+    @precondition(lambda self: self.m.core.coming is not None)
+    @rule()
+    def says_yes(self) -> None:
+        self.m.ready()
+
+    @precondition(lambda self: self.m.live)
+    @rule(data=st.data(), no_handover=st.booleans())
+    def dies(self, data: st.DataObject, no_handover: bool) -> None:
+        self.m.end(data.draw(st.sampled_from(self.keys())), no_handover)
+
+    @rule(generation=st.sampled_from([OLD, NEW, LIKE]), change=st.sampled_from(["c", "d"]),
+          restart=st.booleans(), silence=st.sampled_from(["hold", "back"]))
+    def is_told_to_try(self, generation: str, change: str, restart: bool, silence: str) -> None:
+        order = Order(change, generation, 2.0, restart, silence, 5.0)  # type: ignore[arg-type]
+        if not self.m.core.refusal(order):
+            self.m.do(list(self.m.core.try_(order, self.m.now)))
+
+    @rule(generation=st.sampled_from([OLD, NEW, LIKE]))
+    def is_told_back(self, generation: str) -> None:
+        self.m.do(list(self.m.core.back(generation, "told", self.m.now)))
+
+    @rule()
+    def is_told_to_confirm(self) -> None:
+        trial = self.m.core.trial
+        if self.m.core.confirm(self.m.now):
+            assert self.m.core.running == trial == self.m.core.lasting.present
+
+    @rule(taken=st.booleans())
+    def settings_come_back(self, taken: bool) -> None:
+        if self.m.core.phase is Phase.RELOADING and self.m.core.serving is not None:
+            self.m.do(list(self.m.core.reloaded(self.m.core.serving, taken, "x", self.m.now)))
+
+    @rule(key=st.integers(1, 9))
+    def drained(self, key: int) -> None:
+        self.m.do(list(self.m.core.drained_(key, self.m.now)))
+
+    @rule(key=st.integers(1, 9))
+    def falls_silent(self, key: int) -> None:
+        self.m.do(list(self.m.core.silent(key, self.m.now)))
+
+    @rule(keep=st.booleans())
+    def keeper_is_killed(self, keep: bool) -> None:
+        """Another takes its place, with the state or without it."""
+        core = self.m.core
+        lasting, procs = core.lasting if keep else Lasting(), list(core.procs.values())
+        fresh = Machine.__new__(Machine)
+        fresh.__dict__.update(self.m.__dict__)
+        fresh.core = Core(core.timing, core.pauses, core.only_settings, self.m.said)
+        serving = core.serving if core.serving is not None and core.procs[core.serving].ready >= 0 else None
+        if not keep and not procs:
+            lasting = Lasting(present=OLD)
+        fresh.core.resume(lasting, procs, serving, core.coming, self.m.now)
+        self.m = fresh
+        self.m.do(list(self.m.core.advance(self.m.now)))
+
+    @invariant()
+    def holds(self) -> None:
+        core = self.m.core
+        assert set(core.procs) == set(self.m.live)
+        assert len(self.m.live) <= 3  # one serves, one comes, one ends
+        serving = core.serving
+        if core.phase in (Phase.SERVING, Phase.RELOADING, Phase.BESIDE, Phase.DRAINING):
+            assert serving in core.procs and core.procs[serving].ready >= 0
+        else:
+            assert serving is None
+        assert (core.coming is not None) == (core.phase in (Phase.STARTING, Phase.BESIDE))
+
+    @precondition(lambda self: True)
+    @rule()
+    def quiet_times_bring_what_is_wanted(self) -> None:
+        m = self.m
+        for _ in range(400):
+            m.run(0.5)
+            core = m.core
+            if core.coming is not None and not core.procs[core.coming].killed:
+                m.ready()
+            for key in [k for k, p in core.procs.items() if p.killed or p.termed >= 0]:
+                m.end(key)
+            if core.phase is Phase.RELOADING and core.serving is not None:
+                m.do(list(core.reloaded(core.serving, True, "", m.now)))
+            if core.phase is Phase.DRAINING and core.serving is not None:
+                m.do(list(core.drained_(core.serving, m.now)))
+            if core.running == core.wanted and core.course in (Course.SETTLED, Course.PROVING):
+                return
+        raise AssertionError((core.phase, core.course, core.running, core.wanted, m.moves[-10:]))
+
+
+Orders.TestCase.settings = settings(max_examples=60, stateful_step_count=40, deadline=None, derandomize=True)
+TestOrders = Orders.TestCase
+
+
+@pytest.mark.parametrize("table", [PHASES, COURSES], ids=["phases", "courses"])
+def test_every_state_can_be_reached_and_left(table: dict[tuple[object, object], object]) -> None:
+    befores, afters = {before for before, _ in table}, set(table.values())
+    kind = type(next(iter(afters)))
+    assert befores == afters == set(kind)  # type: ignore[call-overload]
