--- a/headspar/__main__.py
+++ b/headspar/__main__.py
@@ -10,10 +10,9 @@
 
 from headspar.config import ConfigError, load_config
 from headspar.handover import meeting, taker
+from headspar.identity import NO_HANDOVER
 from headspar.process import serve
 
-NO_HANDOVER = 4  # the exit status of a start that was to be beside another process only
-
 
 def say(text: str) -> None:
     print(text, file=sys.stderr, flush=True)
--- a/headspar/cli.py
+++ b/headspar/cli.py
@@ -19,9 +19,12 @@
 from headspar import operator_file
 from headspar.commands import scenario as scenario_of
 from headspar.commands import scenario_names, stop, writable
+from headspar.events import table as events_table
+from headspar.keeper import cli as keeper_cli
 from headspar.lab import explain, report
 from headspar.lab.run import Result, RunError, run_scenario
 from headspar.model import cli as model_cli
+from headspar.rollout import cli as rollout_cli
 from headspar.world.scenario import Scenario
 
 app = typer.Typer(add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False,
@@ -29,6 +32,8 @@
 lab = typer.Typer(no_args_is_help=True, help="A fleet on loopback that breaks on purpose, and its audit.")
 app.add_typer(lab, name="lab")
 app.add_typer(model_cli.app, name="model")
+app.add_typer(keeper_cli.app, name="keeper")
+app.add_typer(rollout_cli.app, name="rollout")
 PROGRESS_FROM_S = 3.0
 
 ScenarioArgument = Annotated[str, typer.Argument(help="A scenario file, or the name of one that comes along.")]
@@ -80,6 +85,12 @@
         print(f"{name} = {value}" + ("" if value == default else f"  (default {default})"))
 
 
+@app.command()
+def events() -> None:
+    """Print the table of what keepers and controllers say, as docs/operators/events.md holds it."""
+    print(events_table(), end="")
+
+
 @app.command()
 def node() -> None:
     """Run one node; ROUTER_NAME, ROUTER_LISTEN, ROUTER_DISCOVERY and ROUTER_CONFIG say all it needs."""
--- a/headspar/identity.py
+++ b/headspar/identity.py
@@ -15,6 +15,7 @@
 PACKAGE = Path(__file__).resolve().parent
 SKIPPED = frozenset(("__pycache__", ".git"))
 MOST_FILES = 20_000
+NO_HANDOVER = 4  # the exit status of a start that was to be beside another process only
 
 
 def tree_digest(folder: Path) -> str:
--- /dev/null
+++ b/headspar/keeper/__main__.py
@@ -0,0 +1,44 @@
+"""``python -m headspar.keeper FILE``: a keeper and nothing of the command line, as it runs on each machine."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import sys
+from pathlib import Path
+
+from headspar import failpoints, operator_file
+from headspar.config import ConfigError, parse_address
+from headspar.events import Events
+from headspar.keeper.host import Host, HostError
+from headspar.operator_file import KeeperTable, OperatorError
+
+
+def table_of(file: Path) -> KeeperTable:
+    """The file's ``[keeper]``, with what a keeper can't do without; ``OperatorError`` names what is wrong."""
+    table = operator_file.load(file).keeper
+    for name in ("folder", "host", "listen"):
+        if not getattr(table, name):
+            raise OperatorError(f"{file}: keeper.{name}: not set")
+    try:
+        parse_address(table.listen, "keeper.listen")
+    except ConfigError as error:
+        raise OperatorError(f"{file}: {error}") from None
+    return table
+
+
+def main(arguments: list[str]) -> int:
+    """The exit status: 0 after SIGTERM, 2 if it can't run; the node goes on when the keeper ends."""
+    try:
+        if len(arguments) != 1:
+            raise HostError("needs the operator's file, and nothing else")
+        failpoints.arm(os.environ)
+        asyncio.run(Host(table_of(Path(arguments[0])), Events(), dict(os.environ)).run())
+    except (HostError, OperatorError, failpoints.FailpointError) as error:
+        print(f"headspar: {error}", file=sys.stderr, flush=True)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/headspar/keeper/cli.py
@@ -0,0 +1,103 @@
+"""``headspar keeper``: the process that holds a machine's node.
+
+Exit status: 0 all well; 1 nobody answers; 2 a file or an option is no good (one line says which).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import shutil
+import sys
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+import typer
+from rich.console import Console
+from rich.table import Table
+
+from headspar import operator_file
+from headspar.commands import stop
+from headspar.identity import PACKAGE, SKIPPED
+from headspar.keeper import __main__ as keeper_main
+from headspar.keeper.generations import GenerationError, digest
+from headspar.keeper.messages import Status
+from headspar.operator_file import KeeperTable, OperatorError
+
+app = typer.Typer(no_args_is_help=True, help="The process that holds a machine's node through changes.")
+FileArgument = Annotated[Path, typer.Argument(help="The operator's file; its table [keeper] is read.")]
+
+
+def table_of(file: Path) -> KeeperTable:
+    try:
+        return keeper_main.table_of(file)
+    except OperatorError as error:
+        raise stop(str(error), 2) from None
+
+
+@app.command()
+def run(file: FileArgument) -> None:
+    """Hold the node until SIGTERM; the node goes on when the keeper ends."""
+    raise typer.Exit(keeper_main.main([str(file)]))
+
+
+def rows(statuses: dict[str, Status | None]) -> Table:
+    """Keepers and their nodes, a line each."""
+    table = Table(box=None, header_style="bold")
+    for name in ("node", "site", "state", "runs", "present", "trial", "rate", "cold", "restarts", "last change"):
+        table.add_column(name)
+    for name, s in statuses.items():
+        if s is None:
+            table.add_row(name, "", "[red]not heard of[/red]")
+            continue
+        outcome = f"{s.outcome.change} {s.outcome.result} {s.outcome.reason}".strip() if s.outcome else ""
+        state = s.state if s.answers else f"[red]{s.state}, silent[/red]"
+        trial = s.trial[:8] + (" proven" if s.proved else "")
+        table.add_row(name, s.site, state, s.running[:8], s.present[:8], trial,
+                      f"{s.figures.rate:.1f}", f"{s.figures.cold}/{s.figures.servers}", str(s.restarts), outcome)
+    return table
+
+
+@app.command()
+def status(
+    file: FileArgument,
+    as_json: Annotated[bool, typer.Option("--json", help="Print it as one line of JSON.")] = False,
+) -> None:
+    """Ask the keeper that runs here how it and its node are."""
+    from headspar.rollout.fleet import Member
+    from headspar.rollout.host import ask_all
+
+    table = table_of(file)
+    found = asyncio.run(ask_all([Member("here", "", table.listen)]))["here"]
+    if found is None:
+        raise stop(f"{table.listen}: no keeper answers", 1)
+    if as_json:
+        sys.stdout.write(msgspec.json.encode(found).decode() + "\n")
+    else:
+        Console().print(rows({found.name: found}))
+
+
+@app.command()
+def pack(
+    to: Annotated[Path, typer.Argument(help="The folder to be made.")],
+    settings: Annotated[Path, typer.Option("--settings", help="The settings object, as JSON.")],
+    operator: Annotated[Path | None, typer.Option("--operator", help="The operator's file of its nodes.")] = None,
+    program: Annotated[Path, typer.Option("--program", help="Its package headspar; this one's if none.")] = PACKAGE,
+) -> None:
+    """Make a generation's folder, and print its name."""
+    if to.exists():
+        raise stop(f"{to}: is there already", 2)
+    try:
+        if operator is not None:
+            operator_file.load(operator)
+        shutil.copytree(program, to / "program" / "headspar", ignore=shutil.ignore_patterns(*SKIPPED, "*.pyc"))
+        shutil.copyfile(settings, to / "settings.json")
+        if operator is not None:
+            shutil.copyfile(operator, to / "operator.toml")
+        print(digest(to))
+    except (OperatorError, GenerationError) as error:
+        shutil.rmtree(to, ignore_errors=True)
+        raise stop(str(error), 2) from None
+    except OSError as error:
+        shutil.rmtree(to, ignore_errors=True)
+        raise stop(f"{error.filename}: {error.strerror}", 2) from None
--- a/headspar/keeper/core.py
+++ b/headspar/keeper/core.py
@@ -278,12 +278,13 @@
         self.next_key = max(self.procs, default=0) + 1
         self.serving, self.coming = serving, coming
         self.heard_at = self.phase_at = now
+        if not lasting.present and procs:  # nothing lasts: what runs, or starts, is what there is
+            known = serving if serving is not None else coming if coming is not None else procs[-1].key
+            lasting.present = self.procs[known].generation
         if serving is not None:
             self.phase = P.BESIDE if coming is not None else P.SERVING
             running = self.running
-            if not lasting.present:
-                lasting.present = running
-            elif running not in (lasting.present, lasting.order.generation if lasting.order else ""):
+            if running not in (lasting.present, lasting.order.generation if lasting.order else ""):
                 lasting.order = Order("", running, 0.0)
                 lasting.course = K.PROVING
             if self.course is K.PROVING and running == self.trial:
--- a/headspar/keeper/host.py
+++ b/headspar/keeper/host.py
@@ -15,11 +15,10 @@
 
 import msgspec
 
-from headspar.__main__ import NO_HANDOVER
 from headspar.config import ConfigError, parse_address
 from headspar.events import Events
 from headspar.failpoints import failpoint
-from headspar.identity import boot_id, settings_digest
+from headspar.identity import NO_HANDOVER, boot_id, settings_digest
 from headspar.keeper import messages as m
 from headspar.keeper import processes
 from headspar.keeper.calls import Address, call, healthy
@@ -162,7 +161,7 @@
             saved = self.state.read()
         except StateError as error:
             self.events.say("keeper.state_lost", why=str(error))
-        epoch = self.state.read_epoch()
+        epoch, step = self.state.read_fence()
         lasting = saved.lasting if saved is not None else Lasting()
         self.fence = saved.fence if saved is not None else Fence()
         known = {(k.pid, k.started): k for k in (saved.processes if saved is not None else [])}
@@ -174,8 +173,9 @@
                 ready = (await call(parse_address(ops, "ops"), "/healthcheck"))[0] == 200
                 role = "serving" if ready else known[key].role if key in known else ""
                 known[key] = Known(*key, str(found["boot"]), self._generation(found), ops, role, ready)
-        if epoch > self.fence.epoch:
-            self.fence = Fence(epoch, self.fence.step, self.fence.answer)
+        if (epoch, step) > (self.fence.epoch, self.fence.step):
+            answer = self.fence.answer if step == self.fence.step else None
+            self.fence = Fence(max(epoch, self.fence.epoch), max(step, self.fence.step), answer)
         procs, serving, coming = [], None, None
         answering = [k for k in known.values() if k.role == "serving" and k.ready]
         for number, k in enumerate(known.values(), 1):
@@ -511,7 +511,8 @@
         return m.Status(
             self.own.name, self.own.site, core.state, core.course.value, core.lasting.present, core.lasting.before,
             core.trial, order.change if order is not None else "", core.running, core.proved(now),
-            core.lasting.deaths, core.restarts, self.fence.epoch, self.fence.step, core.lasting.outcome,
+            order is not None and order.silence == "hold", core.lasting.deaths, core.restarts, self.fence.epoch,
+            self.fence.step, core.lasting.outcome,
             self.store.names(), self.silent_since < 0 and core.serving is not None,
             min(1e9, now - self.figures_at), self.figures, pid, str(self.identity.get("program", "")),
             str(self.identity.get("settings", "")), bool(self.fetching),
--- a/headspar/keeper/messages.py
+++ b/headspar/keeper/messages.py
@@ -92,6 +92,7 @@
     change: str
     running: str  # the generation that serves; empty: none does
     proved: bool
+    holds: bool  # whether the trial stays through a controller's silence
     deaths: int
     restarts: int
     epoch: int
--- a/headspar/keeper/state.py
+++ b/headspar/keeper/state.py
@@ -1,7 +1,7 @@
 """What a keeper keeps on disk: written whole under a temporary name, synced, renamed; checked when it is read.
 
-The epoch lies in a file of its own as well: where the state is torn or gone, a controller that was fenced off must
-stay so.
+The fence lies in a file of its own as well: where the state is torn or gone, a controller that was fenced off must
+stay so, and a step that was taken must not be taken again.
 """
 
 from __future__ import annotations
@@ -66,8 +66,8 @@
     """The state's place in a folder."""
 
     def __init__(self, folder: Path) -> None:
-        self.path, self.epoch_path = folder / "state", folder / "epoch"
-        self.epoch = 0
+        self.path, self.fence_path = folder / "state", folder / "fence"
+        self.fenced = (0, 0)
 
     def read(self) -> Saved:
         """``StateError`` where there is none, or it can't be used."""
@@ -78,20 +78,22 @@
         except OSError as error:
             raise StateError(f"{error.strerror}") from None
 
-    def read_epoch(self) -> int:
-        """The highest epoch of the file of its own; 0 if that can't be read either."""
+    def read_fence(self) -> tuple[int, int]:
+        """Epoch and step of the file of their own; zeros if that can't be read either."""
         try:
-            text = self.epoch_path.read_text().strip()
-            self.epoch = int(text) if text.isascii() and text.isdigit() and len(text) < 16 else 0
+            words = self.fence_path.read_text().split()
+            good = len(words) == 2 and all(w.isascii() and w.isdigit() and len(w) < 16 for w in words)
+            self.fenced = (int(words[0]), int(words[1])) if good else (0, 0)
         except (OSError, ValueError):
-            self.epoch = 0
-        return self.epoch
+            self.fenced = (0, 0)
+        return self.fenced
 
     def write(self, saved: Saved) -> None:
         """``OSError`` if it is not on the disk."""
-        if saved.fence.epoch > self.epoch:
-            _replace(self.epoch_path, b"%d\n" % saved.fence.epoch)
-            self.epoch = saved.fence.epoch
+        fence = (saved.fence.epoch, saved.fence.step)
+        if fence != self.fenced:
+            _replace(self.fence_path, b"%d %d\n" % fence)
+            self.fenced = fence
         failpoint("keeper.state")
         _replace(self.path, encode(saved))
         failpoint("keeper.state_written")
--- /dev/null
+++ b/headspar/lab/kept.py
@@ -0,0 +1,340 @@
+"""Runs in which each node has its keeper, and a script changes the fleet while callers ask and the audit listens.
+
+The nodes are started by their keepers and outlive them, so the run marks all that it starts with a word in the
+environment; a process beside it ends whatever carries that word once the run is gone, however it ended.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import random
+import shutil
+import signal
+import subprocess
+import sys
+import time
+import uuid
+from collections.abc import Awaitable, Callable
+from datetime import datetime
+from pathlib import Path
+from typing import Any
+
+from headspar.identity import NO_HANDOVER, PACKAGE, start_ticks
+from headspar.keeper.generations import digest
+from headspar.lab.children import now_us, package_env
+from headspar.lab.links import Link
+from headspar.lab.nodes import NodeProcess, free_address
+from headspar.lab.run import Result, Run, RunError
+from headspar.world.records import Mark
+from headspar.world.rules import settings
+from headspar.world.scenario import Scenario
+
+MARK = "HEADSPAR_LAB_RUN"
+KEPT_MARK = "LAB_KEPT_RUN"  # keepers hand no HEADSPAR_ variable on
+FRONT_S = 0.1
+SCRIPT_S = 120.0
+NEEDLESS = ("lab", "model", "keeper", "rollout", "world", "__pycache__", "*.pyc")  # for a node
+REAPER = f"""
+import os, signal, sys, time
+sys.stdin.read()
+word = ("{KEPT_MARK}=" + sys.argv[1]).encode()
+for _ in range(20):
+    found = False
+    for pid in filter(str.isdigit, os.listdir("/proc")):
+        try:
+            with open("/proc/%s/environ" % pid, "rb") as file:
+                if word in file.read().split(b"\\0") and int(pid) != os.getpid():
+                    os.kill(int(pid), signal.SIGKILL)
+                    found = True
+        except (OSError, ValueError):
+            pass
+    if not found:
+        break
+    time.sleep(0.05)
+"""
+
+
+def make_generation(to: Path, settings_of: dict[str, Any], change: Callable[[Path], None] | None = None) -> str:
+    """A generation's folder with this program, or with what ``change`` makes of it; its name."""
+    shutil.copytree(PACKAGE, to / "program" / "headspar", ignore=shutil.ignore_patterns(*NEEDLESS))
+    (to / "settings.json").write_text(json.dumps(settings_of))
+    if change is not None:
+        change(to)
+    return digest(to)
+
+
+class Keeper:
+    """One node's keeper, over all its restarts."""
+
+    def __init__(self, name: str, folder: Path, listen: tuple[str, int], env: dict[str, str]) -> None:
+        self.name, self.folder, self.listen, self.env = name, folder, listen, env
+        self.file = folder / "keeper.toml"
+        self.log = folder / "keeper.log"
+        self.process: subprocess.Popen[bytes] | None = None
+
+    def start(self, failpoints: str = "") -> None:
+        env = {**self.env, "HEADSPAR_FAILPOINTS": failpoints}
+        with self.log.open("ab") as log:
+            self.process = subprocess.Popen([sys.executable, "-m", "headspar.keeper", str(self.file)], env=env,
+                                            stdin=subprocess.DEVNULL, stdout=log, stderr=log, start_new_session=True)
+
+    def kill(self) -> None:
+        if self.process is not None:
+            self.process.kill()
+            self.process.wait()
+
+    def events(self) -> list[dict[str, Any]]:
+        rows = []
+        with contextlib.suppress(OSError):
+            for line in self.log.read_text(errors="replace").splitlines():
+                with contextlib.suppress(ValueError):
+                    rows.append(json.loads(line))
+        return [row for row in rows if isinstance(row, dict) and "event" in row]
+
+
+class KeptNode(NodeProcess):
+    """A node as the rest of the lab sees it, though its processes are the keeper's."""
+
+    keeper: Keeper
+    both: tuple[tuple[str, int], tuple[str, int]]
+
+    async def call(self, path: str, method: str = "GET") -> tuple[int, dict[str, Any]]:
+        for ops in self.both:
+            self.ops = ops
+            with contextlib.suppress(OSError, IndexError, ValueError):
+                found = await super().call(path, method)
+                if path == "/identity" or (await super().call("/healthcheck"))[0] == 200:
+                    return found
+        raise OSError("neither of its addresses answers as one that serves")
+
+    async def who(self) -> dict[str, Any]:
+        return (await self.call("/identity"))[1]
+
+    async def kill_node(self) -> None:
+        """SIGKILL to the process that serves."""
+        await self.call("/stats")  # whose address is the one that serves from here on
+        found = await super().call("/identity")
+        pid = int(found[1]["pid"])
+        assert start_ticks(pid) == found[1]["started"]
+        self.marks.append(Mark(now_us(), "node_kill", self.name))
+        os.kill(pid, signal.SIGKILL)
+
+    async def end(self, seconds: float = 6.0) -> None:
+        """What ends all of a kept run is its reaper."""
+
+    def kill(self) -> None:
+        pass
+
+
+Script = Callable[["KeptRun"], Awaitable[None]]
+
+
+class KeptRun(Run):
+    """A run with keepers.  ``script`` is played while callers ask; the run ends once both are over."""
+
+    def __init__(self, scenario: Scenario, seed: int, dir: Path, script: Script, table: str = "",
+                 keeper_table: str = "") -> None:
+        super().__init__(scenario, seed, dir)
+        self.script, self.table, self.keeper_table = script, table, keeper_table
+        self.word = uuid.uuid4().hex
+        self.env = {k: v for k, v in package_env().items() if not k.startswith(("ROUTER_", "HEADSPAR_"))}
+        self.env[KEPT_MARK] = self.word
+        self.rng = random.Random(f"{seed}/links")
+        self.keepers: dict[str, Keeper] = {}
+        self.links: dict[str, Link] = {}
+        self.controllers: list[asyncio.subprocess.Process] = []
+        self.front_up: dict[str, bool] = {}
+        self.generations: dict[str, str] = {}
+        self.reaper: subprocess.Popen[bytes] | None = None
+        self.wall_us = 0  # wall clock less the lab's clock
+        self.played: asyncio.Task[None] | None = None
+        self.controller_log = dir / "controller.log"
+
+    # ------------------------------------------------------------ start
+
+    async def _start(self) -> None:
+        self.wall_us = time.time_ns() // 1000 - now_us()
+        self.reaper = subprocess.Popen([sys.executable, "-I", "-S", "-c", REAPER, self.word], stdin=subprocess.PIPE,
+                                       start_new_session=True)
+        self.generation("old")
+        await super()._start()
+        rows = []
+        for name, keeper in self.keepers.items():
+            link = self.links[name] = Link(keeper.listen, self.hosts.next(), self.rng)
+            await link.start()
+            site = self.nodes[name].config["settings"]["az"]
+            rows.append(f'[[node]]\nname = "{name}"\nsite = "{site}"\n'
+                        f'keeper = "{link.address[0]}:{link.address[1]}"\n')
+        (self.dir / "fleet.toml").write_text("\n".join(rows))
+        self.operator_path.write_text(
+            f'[rollout]\nrecord = "{self.dir / "record.db"}"\nfleet = "{self.dir / "fleet.toml"}"\n{self.table}')
+        self._task(self._fronting())
+
+    @property
+    def operator_path(self) -> Path:
+        return self.dir / "rollout.toml"
+
+    def generation(self, label: str, change: Callable[[Path], None] | None = None) -> Path:
+        """Make a generation and remember its name under a label."""
+        folder = self.dir / "sources" / label
+        self.generations[label] = make_generation(folder, settings(self.s, self.plan, 0), change)
+        return folder
+
+    def _plan_nodes(self, names: list[str], listens: dict[str, tuple[str, int]]) -> None:
+        super()._plan_nodes(names, listens)
+        for name, plain in list(self.nodes.items()):
+            node = KeptNode(name, plain.config, plain.listen, plain.dir)
+            node.both = (free_address(node.listen[0]), free_address(node.listen[0]))
+            self.nodes[name] = node
+
+    async def _start_node(self, node: NodeProcess) -> None:
+        assert self.discovery is not None and isinstance(node, KeptNode)
+        folder = self.dir / node.name
+        folder.mkdir()
+        keeper = node.keeper = Keeper(node.name, folder, free_address(self.hosts.next()), self.env)
+        self.write_host(node)
+        first = self.dir / "sources" / "old"
+        keeper.file.write_text(
+            f'[keeper]\nfolder = "{folder}"\nhost = "{folder / "host.json"}"\nfirst = "{first}"\n'
+            f'listen = "{keeper.listen[0]}:{keeper.listen[1]}"\n{self.keeper_table}')
+        known = self.discovery.known(node.name)
+        keeper.start()
+        self.keepers[node.name] = keeper
+        self.discovery.started_with(node.name, known)
+        self.front_up[node.name] = True
+
+    def write_host(self, node: KeptNode) -> None:
+        """The machine's own part, with discovery's list as it is now."""
+        assert self.discovery is not None
+        config = {k: v for k, v in node.config.items() if k not in ("settings", "name", "discovery")}
+        config["known"] = self.discovery.known(node.name)
+        own = node.config["settings"]
+        address = self.discovery.desks[node.name].address
+        host = {
+            "name": node.name, "site": own["az"], "listen": f"{node.listen[0]}:{node.listen[1]}",
+            "discovery": f"{address[0]}:{address[1]}", "ops": [f"{a[0]}:{a[1]}" for a in node.both],
+            "config": config, "settings": {"az": own["az"], "me": own["me"]},
+        }
+        path = self.dir / node.name / "host.json"
+        new = path.with_suffix(".new")
+        new.write_text(json.dumps(host))
+        new.replace(path)
+
+    # ------------------------------------------------------------ on the way
+
+    async def _steps(self) -> None:
+        self.played = asyncio.create_task(self._play())
+        await super()._steps()
+
+    async def _play(self) -> None:
+        await asyncio.sleep(max(0.0, (self.began_at - now_us()) / 1e6))
+        async with asyncio.timeout(SCRIPT_S):
+            await self.script(self)
+
+    async def _more(self) -> None:
+        assert self.played is not None
+        try:
+            await self.played
+        except TimeoutError:
+            raise RunError(f"the script was not over after {SCRIPT_S:.0f} s") from None
+
+    async def _fronting(self) -> None:
+        """The front: it asks each node ten times a second and sends nothing where the answer is no."""
+        async def one(node: NodeProcess) -> None:
+            while True:
+                up = await node.ready(0.3) if self.began_at else True
+                if up != self.front_up[node.name]:
+                    self.front_up[node.name] = up
+                    self._front(node, up)
+                await asyncio.sleep(FRONT_S)
+
+        async def refresh() -> None:
+            while True:
+                await asyncio.sleep(0.5)
+                for node in self.nodes.values():
+                    assert isinstance(node, KeptNode)
+                    self.write_host(node)
+
+        await asyncio.gather(refresh(), *(one(node) for node in self.nodes.values()))
+
+    def node(self, name: str) -> KeptNode:
+        node = self.nodes[name]
+        assert isinstance(node, KeptNode)
+        return node
+
+    async def controller(self, *arguments: str, failpoints: str = "") -> asyncio.subprocess.Process:
+        """A controller's process: ``headspar rollout`` with these arguments."""
+        env = {**self.env, "HEADSPAR_FAILPOINTS": failpoints}
+        with self.controller_log.open("ab") as log:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "headspar.cli", "rollout", *arguments, env=env, stdin=subprocess.DEVNULL,
+                stdout=log, stderr=log, start_new_session=True)
+        self.controllers.append(process)
+        return process
+
+    # ------------------------------------------------------------ the end
+
+    async def _close(self) -> None:
+        if self.played is not None:
+            self.played.cancel()
+        for link in self.links.values():
+            link.close()
+        await super()._close()
+        if self.reaper is not None:
+            assert self.reaper.stdin is not None
+            self.reaper.stdin.close()
+            await asyncio.to_thread(self.reaper.wait)
+        for keeper in self.keepers.values():
+            if keeper.process is not None:
+                keeper.process.wait()
+        for process in self.controllers:
+            await process.wait()
+
+    def _result(self) -> Result:
+        for node in self.nodes.values():
+            assert isinstance(node, KeptNode)
+            node.marks += self._marks(node)
+        return super()._result()
+
+    def at(self, event: dict[str, Any]) -> int:
+        """When an event was written, by the lab's clock."""
+        return int(datetime.fromisoformat(event["timestamp"]).timestamp() * 1e6) - self.wall_us
+
+    def _marks(self, node: KeptNode) -> list[Mark]:
+        """What the keeper says of its node's processes, as the audit reads it."""
+        marks = []
+        events = node.keeper.events()
+        idle = {e["pid"] for e in events if e["event"] == "keeper.process_ended" and e["status"] in (3, NO_HANDOVER)}
+        for event in events:
+            at = self.at(event)
+            if event.get("pid") in idle:  # it has never listened
+                continue
+            if event["event"] == "keeper.process_started":
+                if at > self.began_at > 0:
+                    marks.append(Mark(at, "node_upgrade" if event["beside"] else "node_start", node.name))
+            elif event["event"] == "keeper.signalled" and event["signal"] in ("SIGTERM", "SIGKILL"):
+                what = "node_term" if event["signal"] == "SIGTERM" else "node_kill"
+                marks.append(Mark(at, what, node.name))
+            elif event["event"] == "keeper.process_ended":
+                if event["status"] not in (0, -1):  # by itself, or by force: what it had is gone
+                    marks.append(Mark(at - 50_000, "node_kill", node.name))
+                marks.append(Mark(at, "node_exit", node.name, f"ended with status {event['status']}"))
+        return marks
+
+
+def run_kept(scenario: Scenario, seed: int, dir: Path, script: Script, table: str = "",
+             keeper_table: str = "") -> tuple[Result, KeptRun]:
+    """Play it on an event loop of its own.  ``RunError`` if it can't be carried out."""
+    import uvloop
+
+    dir.mkdir(parents=True, exist_ok=True)
+
+    async def whole() -> tuple[Result, KeptRun]:
+        run = KeptRun(scenario, seed, dir, script, table, keeper_table)
+        return await run.run(), run
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        return runner.run(whole())
--- a/headspar/lab/run.py
+++ b/headspar/lab/run.py
@@ -311,6 +311,7 @@
             self._task(self._steps())
             self._task(self._tick())
             await asyncio.sleep(LEAD_US / 1e6 + self.s.length_s)
+            await self._more()
             within = self._longest_wait()
             for child in self.callers:
                 child.tell({"cmd": "finish", "within_s": within})
@@ -328,6 +329,9 @@
         finally:
             await self._close()
 
+    async def _more(self) -> None:
+        """What must be over, beside the traffic, before all is ended."""
+
     def _longest_wait(self) -> float:
         """For the last tries, retries and pauses to end."""
         spec = self.s.callers
--- /dev/null
+++ b/headspar/rollout/cli.py
@@ -0,0 +1,322 @@
+"""``headspar rollout``: a change over the fleet, for people.
+
+Exit status: 0 done, or what was asked was shown; 1 taken back, refused, or nothing to do it to; 2 a file or an option
+is no good (one line says which); 3 the change needs a person; 4 another controller has the lease, or the record
+fails; 5 paused.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import socket
+import sys
+import time
+from pathlib import Path
+from typing import Annotated, Any
+
+import msgspec
+import typer
+from rich.console import Console, Group
+from rich.live import Live
+from rich.table import Table
+from rich.text import Text
+
+from headspar import failpoints, operator_file
+from headspar.commands import stop
+from headspar.events import Events
+from headspar.keeper.cli import rows
+from headspar.keeper.generations import GenerationError, digest
+from headspar.keeper.messages import Status
+from headspar.keeper.slots import deal
+from headspar.operator_file import OperatorError, RolloutTable, parse_shares
+from headspar.rollout.fleet import FleetError, Member, load
+from headspar.rollout.host import Controller, ask_all
+from headspar.rollout.limits import Limits
+from headspar.rollout.record import Busy, Fenced, Record, RecordError
+from headspar.rollout.stages import Candidate
+from headspar.rollout.stages import plan as plan_stages
+from headspar.rollout.state import OVER, Change, State, Ways
+
+app = typer.Typer(no_args_is_help=True, help="A change of program or settings over the fleet, in stages.")
+FileArgument = Annotated[Path, typer.Argument(help="The operator's file; its table [rollout] is read.")]
+JsonOption = Annotated[bool, typer.Option("--json", help="Print it as one line of JSON.")]
+YesOption = Annotated[bool, typer.Option("--yes", help="Do it; without it, say what would be done.")]
+AnywayOption = Annotated[bool, typer.Option("--anyway", help="Also onto a fleet that is not as planned.")]
+StayOption = Annotated[bool, typer.Option("--stay", help="Go on after its end, for nodes that come back later.")]
+END = {State.DONE: 0, State.TAKEN_BACK: 1, State.PERSON: 3, State.PAUSED: 5}
+
+
+def setup(file: Path) -> tuple[RolloutTable, list[Member], Record]:
+    """The file's ``[rollout]``, the fleet and the record."""
+    try:
+        table = operator_file.load(file).rollout
+        for name in ("record", "fleet"):
+            if not getattr(table, name):
+                raise stop(f"{file}: rollout.{name}: not set", 2)
+        failpoints.arm(os.environ)
+        return table, load(Path(table.fleet)), Record(Path(table.record))
+    except (OperatorError, FleetError, failpoints.FailpointError) as error:
+        raise stop(str(error), 2) from None
+    except RecordError as error:
+        raise stop(str(error), 4) from None
+
+
+def ways(table: RolloutTable) -> Ways:
+    limits = Limits(table.max_out, table.max_out_site, table.node_rps, table.headroom, table.cold_most)
+    return Ways(limits, table.proving_s, table.settle_s, table.ready_s, table.lost_s,
+                table.on_failure, table.silence, table.silence_s, table.restart)  # type: ignore[arg-type]
+
+
+def print_json(value: Any) -> None:
+    sys.stdout.write(msgspec.json.encode(value).decode() + "\n")
+
+
+def planned(table: RolloutTable, members: list[Member], statuses: dict[str, Status | None], name: str, folder: Path,
+            ) -> tuple[Change, list[str]]:
+    """The change, and what speaks against beginning it."""
+    try:
+        goal = digest(folder)
+    except GenerationError as error:
+        raise stop(str(error), 2) from None
+    present = [s.present for s in statuses.values() if s is not None and s.present]
+    before = max(set(present), key=present.count) if present else ""
+    nodes = [
+        Candidate(m.name, m.site, s.figures.rate if (s := statuses[m.name]) is not None else 0.0) for m in members
+    ]
+    sites = {m.name: m.site for m in members}
+    slots = deal([m.name for m in members], sites, table.max_out, table.max_out_site, table.slot_s,
+                 random.Random(name))
+    stages = plan_stages(nodes, parse_shares(table.shares) or [1.0])
+    against = []
+    if goal == before:
+        against.append("the fleet is at this generation already")
+    if not before:
+        against.append("no keeper says what runs")
+    strangers = sorted(n for n, s in statuses.items() if s is not None and s.present not in (before, goal))
+    if strangers:
+        against.append(f"of a third generation: {', '.join(strangers)}")
+    moving = sorted(n for n, s in statuses.items() if s is not None and s.course not in ("settled", "held"))
+    if moving:
+        against.append(f"not settled: {', '.join(moving)}")
+    away = sorted(n for n, s in statuses.items() if s is None)
+    if len(away) >= table.max_out:
+        against.append(f"not heard of, and only {table.max_out} may be out: {', '.join(away)}")
+    change = Change(name, goal, str(folder.absolute()), before, stages, slots, ways(table))
+    return change, against
+
+
+def show_plan(change: Change, against: list[str], statuses: dict[str, Status | None]) -> Group:
+    table = Table(box=None, header_style="bold")
+    for title in ("stage", "nodes", "which"):
+        table.add_column(title)
+    for i, stage in enumerate(change.stages):
+        table.add_row(str(i + 1), str(len(stage)), ", ".join(stage[:8]) + (" ..." if len(stage) > 8 else ""))
+    kind = "" if not against else "\n".join(f"against it: {text}" for text in against)
+    head = f"change {change.id}: {change.before[:12]} -> {change.goal[:12]}, {len(statuses)} nodes"
+    return Group(Text(head), table, Text(kind, style="red"))
+
+
+@app.command()
+def plan(
+    file: FileArgument, folder: Annotated[Path, typer.Argument(help="The new generation's folder.")],
+    name: Annotated[str, typer.Option("--name", help="The change's name.")] = "change", as_json: JsonOption = False,
+) -> None:
+    """Say what a change would do: its stages, and what speaks against it.  Nothing is done."""
+    table, members, _ = setup(file)
+    statuses = asyncio.run(ask_all(members))
+    change, against = planned(table, members, statuses, name, folder)
+    if as_json:
+        print_json({"change": change, "against": against})
+    else:
+        Console().print(show_plan(change, against, statuses))
+    if against:
+        raise typer.Exit(1)
+
+
+@app.command()
+def start(
+    file: FileArgument, folder: Annotated[Path, typer.Argument(help="The new generation's folder.")],
+    name: Annotated[str, typer.Option("--name", help="The change's name, which no other has had.")],
+    yes: YesOption = False, anyway: AnywayOption = False, stay: StayOption = False, as_json: JsonOption = False,
+) -> None:
+    """Begin a change, and lead it to its end."""
+    table, members, record = setup(file)
+    statuses = asyncio.run(ask_all(members))
+    change, against = planned(table, members, statuses, name, folder)
+    if against and not anyway or not yes:
+        Console(stderr=as_json).print(show_plan(change, against, statuses))
+        if against and not anyway:
+            raise stop("not begun; --anyway begins it all the same", 1)
+        raise stop("nothing done; --yes does it", 0)
+    try:
+        record.create(change, time.time())
+    except Busy as error:
+        raise stop(str(error), 1) from None
+    except OSError as error:
+        raise stop(f"{table.record}: {error.strerror}", 4) from None
+    _lead(table, members, record, stay, as_json)
+
+
+@app.command("run")
+def lead(file: FileArgument, stay: StayOption = False, as_json: JsonOption = False) -> None:
+    """Lead the change that the record holds, as soon as nobody else does."""
+    table, members, record = setup(file)
+    _lead(table, members, record, stay, as_json)
+
+
+def _lead(table: RolloutTable, members: list[Member], record: Record, stay: bool, as_json: bool) -> None:
+    holder = f"{socket.gethostname()}/{os.getpid()}"
+    console = Console(stderr=True)
+    live = Live(console=console, refresh_per_second=4) if console.is_terminal and not as_json else None
+    controller = Controller(
+        record, members, Events(), holder, poll_s=table.poll_s, lease_s=table.lease_s, stay=stay,
+        show=(lambda c: live.update(screen(c))) if live is not None else None,
+    )
+    try:
+        if live is not None:
+            live.start()
+        change = asyncio.run(controller.run())
+    except Fenced as error:
+        raise stop(str(error), 4) from None
+    except OSError as error:
+        raise stop(f"{error.filename or table.record}: {error.strerror or error}", 4) from None
+    finally:
+        if live is not None:
+            live.stop()
+    if change is None:
+        raise stop("there is no change", 1)
+    _say(change, as_json)
+    raise typer.Exit(END.get(change.state, 0))
+
+
+def _say(change: Change, as_json: bool) -> None:
+    if as_json:
+        print_json(change)
+    else:
+        print(f"change {change.id}: {change.state.value}, stage {change.stage + 1} of {len(change.stages)}"
+              + (f"; {change.why}" if change.why else ""))
+
+
+def screen(controller: Controller) -> Group:
+    """A change as it goes on: stage, sites, nodes by state, what holds it up."""
+    director = controller.director
+    assert director is not None
+    change, clock = director.change, controller.clock()
+    stage = f"stage {change.stage + 1} of {len(change.stages)}"
+    head = f"change {change.id}: {change.state.value}, {stage}, {clock:.0f} s"
+    table = Table(box=None, header_style="bold")
+    for title in ("site", "nodes", "old", "changing", "on trial", "proven", "new", "not heard of"):
+        table.add_column(title)
+    for site in sorted(set(director.sites.values())):
+        counts = dict.fromkeys(("old", "changing", "on trial", "proven", "new", "away"), 0)
+        names = [n for n, s in director.sites.items() if s == site]
+        for name in names:
+            counts[kind(director.fresh(name, clock), change)] += 1
+        table.add_row(site, str(len(names)), *(str(n) for n in counts.values()))
+    return Group(Text(head), table, Text(f"waits: {controller.decision.waits}" if controller.decision.waits else ""))
+
+
+def kind(status: Status | None, change: Change) -> str:
+    """Where a node stands in a change, in a word."""
+    if status is None:
+        return "away"
+    if status.trial == change.goal:
+        return "proven" if status.proved else "on trial" if status.course == "proving" else "changing"
+    if status.present == change.goal and status.course == "settled":
+        return "new"
+    return "old" if status.course == "settled" else "changing"
+
+
+@app.command()
+def status(file: FileArgument, as_json: JsonOption = False) -> None:
+    """The change under way, or the last one, and every node."""
+    _, members, record = setup(file)
+    found = record.latest()
+    statuses = asyncio.run(ask_all(members))
+    holder, epoch, until = record.holder()
+    led = holder if until > time.time() else ""
+    if as_json:
+        print_json({"change": found[0] if found else None, "led_by": led, "epoch": epoch, "nodes": statuses})
+        return
+    if found is not None:
+        _say(found[0], False)
+        print(f"led by {led}, epoch {epoch}" if led else f"nobody leads it; last epoch {epoch}")
+    Console().print(rows(statuses))
+
+
+@app.command()
+def watch(file: FileArgument, seconds: Annotated[float, typer.Option("--every", min=0.1)] = 1.0) -> None:
+    """Show the change until it is over."""
+    _, members, record = setup(file)
+    with Live(refresh_per_second=4) as live:
+        while (found := record.latest()) is not None:
+            statuses = asyncio.run(ask_all(members))
+            change = found[0]
+            head = f"change {change.id}: {change.state.value}, stage {change.stage + 1} of {len(change.stages)}"
+            live.update(Group(Text(f"{head} {change.why}"), rows(statuses)))
+            if change.state in OVER:
+                raise typer.Exit(END[change.state])
+            time.sleep(seconds)
+    raise stop("there is no change", 1)
+
+
+def _request(file: Path, what: str, yes: bool) -> None:
+    _, _, record = setup(file)
+    found = record.latest()
+    if found is None or found[0].state in OVER:
+        raise stop("no change is under way", 1)
+    if not yes:
+        raise stop(f"nothing done; --yes asks the controller to {what} change {found[0].id!r}", 0)
+    by = f"{os.environ.get('USER', 'uid')} {os.getuid()}"
+    record.request(found[0].id, what, by, time.time())
+    holder, _, until = record.holder()
+    print(f"asked {holder}" if until > time.time() else
+          "nobody leads it now: 'headspar rollout run' takes it up")
+
+
+@app.command()
+def pause(file: FileArgument) -> None:
+    """Let the change stand where it is."""
+    _request(file, "pause", True)
+
+
+@app.command()
+def resume(file: FileArgument) -> None:
+    """Let it go on, and try again what had failed."""
+    _request(file, "resume", True)
+
+
+@app.command()
+def back(file: FileArgument, yes: YesOption = False) -> None:
+    """Take the change back, in steps within the limits."""
+    _request(file, "back", yes)
+
+
+@app.command()
+def history(
+    file: FileArgument, name: Annotated[str | None, typer.Argument(help="One change: its moves and steps.")] = None,
+    as_json: JsonOption = False,
+) -> None:
+    """All changes, or all moves and steps of one."""
+    _, _, record = setup(file)
+    if name is None:
+        changes = record.changes()
+        if as_json:
+            print_json([{"change": change, "began": began} for change, began in changes])
+            return
+        for change, began in changes:
+            print(f"{time.strftime('%Y-%m-%d %H:%M:%S', time.localtime(began))}  ", end="")
+            _say(change, False)
+        return
+    moves, steps = record.moves(name), record.steps(name)
+    if not moves and not steps:
+        raise stop(f"there has been no change {name!r}", 1)
+    if as_json:
+        print_json({"moves": moves, "steps": steps})
+        return
+    lines = [(m.at, f"{m.before} -> {m.after}: {m.cause} {m.why} (epoch {m.epoch})") for m in moves]
+    lines += [(s.at, f"step {s.number}: {s.node} {s.say}: {s.outcome or 'no answer'} {s.why}") for s in steps]
+    for at, text in sorted(lines):
+        print(f"{time.strftime('%H:%M:%S', time.localtime(at))}  {text.strip()}")
--- /dev/null
+++ b/headspar/rollout/rehearsal.py
@@ -0,0 +1,332 @@
+"""A change rehearsed in simulated time: the real director, fences and keepers' cores; processes and messages fail as
+drawn.  No I/O; what it shows of limits and ends holds for the decisions, not for the sockets beside them.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from headspar.keeper.core import Core, Course, Drain, Kill, Lasting, Order, Phase, Reload, Start, Term, Timing
+from headspar.keeper.fence import Fence, Verdict
+from headspar.keeper.messages import Figures, Status
+from headspar.keeper.pauses import Pauses, PauseSettings
+from headspar.keeper.slots import deal
+from headspar.rollout.limits import Limits
+from headspar.rollout.stages import Candidate, plan
+from headspar.rollout.state import OVER, Cause, Change, Command, Director, State, Ways
+
+OLD, NEW = "old", "new"
+TICK = 0.25
+
+
+class Faults(msgspec.Struct, frozen=True):
+    """What goes wrong, drawn.  Shares are of messages; rates are for each node and second, or the controller's."""
+
+    drop: float = 0.0
+    lose: float = 0.0  # the answer
+    late: float = 0.0
+    late_s: float = 20.0
+    twice: float = 0.0
+    node_deaths: float = 0.0
+    keeper_deaths: float = 0.0
+    state_lost: float = 0.0  # share of the keepers' deaths
+    controller_deaths: float = 0.0
+    cuts: float = 0.0  # of a node from the controller
+    cut_s: float = 20.0
+    until: float = 0.0  # after it nothing goes wrong any more
+    back_at: float = -1.0  # a person takes the change back
+    bad: str = ""  # what is wrong with the new generation: "dies", "no start", "no hand-over"
+    silence: str = "hold"
+
+
+class Node:
+    """A machine: a keeper's core, its fence, and its processes."""
+
+    def __init__(self, world: Rehearsal, name: str, site: str) -> None:
+        self.world, self.name, self.site = world, name, site
+        self.rng = random.Random(f"{world.seed}/{name}")
+        self.fence = Fence()
+        self.restarts = 0
+        self.core = self._core()
+        self.core.resume(Lasting(present=OLD), [], None, None, world.now)
+        self.cut_until = -1.0
+        self.ordered = False  # whether it moves because it was told to, or by the change's rule
+        self.goal_starts = 0
+        self.epochs: list[tuple[int, int]] = []
+        self.same = world.settings_only
+
+    def _core(self) -> Core:
+        pauses = Pauses(PauseSettings(), self.rng)
+        return Core(Timing(), pauses, lambda a, b: self.world.settings_only, self._moved)
+
+    def _moved(self, table: str, before: str, cause: str, after: str) -> None:
+        if table == "course" and cause == "silence":
+            self.ordered = True
+        if table == "course" and cause in ("ready", "there", "failed twice", "hopeless"):
+            self.ordered = False
+
+    @property
+    def moving(self) -> bool:
+        """Whether it is out of its settled service because of the change."""
+        return self.ordered and self.core.phase not in (Phase.SERVING, Phase.RELOADING)
+
+    def do(self, actions: list[Any]) -> None:
+        world = self.world
+        for a in actions:
+            if isinstance(a, Start):
+                self.goal_starts += a.generation == NEW
+                bad = world.faults.bad if a.generation == NEW else ""
+                if bad == "no start":
+                    world.later(0.5, self._end, a.key, False)
+                elif a.beside and bad == "no hand-over":
+                    world.later(0.3, self._end, a.key, True)
+                else:
+                    world.later(self.rng.uniform(0.3, 1.5), self._ready, a.key)
+                    if bad == "dies":
+                        world.later(self.rng.uniform(2.0, 4.0), self._end, a.key, False)
+            elif isinstance(a, Term):
+                world.later(self.rng.uniform(0.3, 2.0), self._end, a.key, False)
+            elif isinstance(a, Kill):
+                world.later(0.05, self._end, a.key, False)
+            elif isinstance(a, Drain):
+                world.later(2.0, self._drained, a.key)
+            elif isinstance(a, Reload):
+                world.later(0.3, self._reloaded, a.key)
+
+    def _ready(self, key: int) -> None:
+        self.do(self.core.ready(key, self.world.now))
+
+    def _end(self, key: int, no_handover: bool) -> None:
+        self.do(self.core.ended(key, no_handover, self.world.now))
+
+    def _drained(self, key: int) -> None:
+        self.do(self.core.drained_(key, self.world.now))
+
+    def _reloaded(self, key: int) -> None:
+        self.do(self.core.reloaded(key, True, "", self.world.now))
+
+    def tick(self) -> None:
+        f, now, rng = self.world.faults, self.world.now, self.rng
+        if now < f.until:
+            if self.core.serving is not None and rng.random() < f.node_deaths * TICK:
+                self.ordered = False
+                self._end(self.core.serving, False)
+            if rng.random() < f.keeper_deaths * TICK:
+                self.restart_keeper(rng.random() < f.state_lost)
+            if now > self.cut_until and rng.random() < f.cuts * TICK:
+                self.cut_until = min(f.until, now + rng.uniform(0.5, 1.5) * f.cut_s)
+        self.do(self.core.advance(now))
+
+    def restart_keeper(self, lost: bool) -> None:
+        """The node goes on; another keeper finds it."""
+        old = self.core
+        lasting = Lasting() if lost else old.lasting
+        if lost:
+            self.fence = Fence(self.fence.epoch)  # it lies in a file of its own, and the node knows it
+            if not old.procs:
+                lasting = Lasting(present=OLD)
+        self.core = self._core()
+        serving = old.serving if old.serving is not None and old.procs[old.serving].ready >= 0 else None
+        self.core.resume(lasting, list(old.procs.values()), serving, old.coming, self.world.now)
+
+    def status(self) -> Status:
+        core, order = self.core, self.core.lasting.order
+        return Status(
+            self.name, self.site, core.state, core.course.value, core.lasting.present, core.lasting.before,
+            core.trial, order.change if order else "", core.running, core.proved(self.world.now),
+            order is not None and order.silence == "hold", core.lasting.deaths, core.restarts, self.fence.epoch,
+            self.fence.step, core.lasting.outcome, [NEW, OLD], core.serving is not None, 0.0, Figures(), 1, "", "")
+
+    def take(self, command: Command | None, epoch: int, step: int, clock: float, change: str) -> tuple[bool, Status]:
+        """A word has come; ``None``: the controller is there."""
+        now, core = self.world.now, self.core
+        verdict = self.fence.judge(epoch, step)
+        if verdict is Verdict.AGAIN:
+            assert self.fence.answer is not None
+            return bool(self.fence.answer["ok"]), self.status()
+        if verdict is not Verdict.NEW:
+            self.world.refused += 1
+            return False, self.status()
+        if step:
+            self.epochs.append((epoch, step))
+        core.heard(clock, now)
+        ok = True
+        if command is not None:
+            if command.say == "try":
+                assert command.order is not None
+                ok = not core.refusal(command.order)
+                if ok:
+                    self.ordered |= core.serving is not None  # one that is down takes nothing away
+                    self.do(core.try_(command.order, now))
+            elif command.say == "back":
+                self.ordered |= core.serving is not None
+                self.do(core.back(command.generation, command.reason, now))
+            elif command.say == "hold":
+                core.hold(now)
+            elif command.say == "confirm":
+                ok = core.confirm(now)
+        self.fence = self.fence.take(epoch, step, {"ok": ok} if step else None)
+        return ok, self.status()
+
+
+class Rehearsal:
+    """A fleet, a change, and one controller after another."""
+
+    def __init__(self, nodes: int, sites: int, seed: int, faults: Faults, limits: Limits,
+                 settings_only: bool = False) -> None:
+        self.seed, self.faults, self.limits, self.settings_only = seed, faults, limits, settings_only
+        self.rng = random.Random(f"{seed}/world")
+        self.now = 0.0
+        self.queue: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
+        self.serial = self.refused = 0
+        self.nodes = {f"n{i}": Node(self, f"n{i}", f"s{i % sites}") for i in range(nodes)}
+        self.sites = {n.name: n.site for n in self.nodes.values()}
+        ways = Ways(limits, proving_s=3.0, settle_s=1.0, ready_s=40.0, lost_s=6.0,
+                    silence=faults.silence, silence_s=15.0)  # type: ignore[arg-type]
+        slots = deal(list(self.nodes), self.sites, limits.most, limits.most_of_site, 20.0, self.rng)
+        stages = plan([Candidate(n.name, n.site) for n in self.nodes.values()], [0.2, 1.0])
+        self.change = Change("c", NEW, "", OLD, stages, slots, ways)
+        self.stored = msgspec.json.encode(self.change)
+        self.epoch, self.steps = 1, 0
+        self.open: dict[str, tuple[int, Command]] = {}
+        self.told: dict[str, float] = {}
+        self.director = Director(self.change, self.sites, 0.0)
+        self.most_moving = self.most_of_site = self.over = 0
+        self.controller_back_at = 0.0
+
+    def later(self, seconds: float, call: Callable[..., None], *arguments: Any) -> None:
+        self.serial += 1
+        heapq.heappush(self.queue, (self.now + seconds, self.serial, call, arguments))
+
+    # ------------------------------------------------------------ messages
+
+    def _word(self, name: str, command: Command | None, step: int) -> None:
+        """Send a word and hear the answer, as links allow; what is late comes with its old epoch."""
+        f, rng, node = self.faults, self.rng, self.nodes[name]
+        faulty = self.now < f.until
+        if self.now < node.cut_until or faulty and rng.random() < f.drop:
+            return
+        word = (name, command, self.epoch, step, self.now, False)
+        if faulty and command is not None and rng.random() < f.late:
+            self.later(rng.uniform(0.5, 1.0) * f.late_s, self._arrive, *word)
+            return
+        if faulty and command is not None and rng.random() < f.twice:
+            self.later(rng.uniform(0, 1.0) * f.late_s, self._arrive, *word)
+        heard = not (faulty and rng.random() < f.lose)
+        self._arrive(name, command, self.epoch, step, self.now, heard)
+
+    def _arrive(self, name: str, command: Command | None, epoch: int, step: int, clock: float, heard: bool) -> None:
+        _, status = self.nodes[name].take(command, epoch, step, clock, self.change.id)
+        if heard and epoch == self.epoch:
+            self.director.heard(name, status, self.now)
+            if step and self.open.get(name, (0, None))[0] == step:
+                del self.open[name]
+
+    # ------------------------------------------------------------ the controller
+
+    def _replace_controller(self) -> None:
+        """It is killed at this moment; another reads the record some time later."""
+        self.epoch += 1
+        self.change = msgspec.json.decode(self.stored, type=Change)
+        self.controller_back_at = self.now + self.rng.uniform(0.5, 8.0)
+        self.director = Director(self.change, self.sites, self.controller_back_at)
+        for name, at in self.told.items():
+            self.director.told(name, at)
+
+    def _lead(self) -> None:
+        f, director = self.faults, self.director
+        if self.now < f.until and self.rng.random() < f.controller_deaths * TICK:
+            self._replace_controller()
+        if self.now < self.controller_back_at:
+            return
+        for name in self.nodes:
+            self._word(name, None, 0)
+        if self.now < director.began + 2.0:
+            return
+        if self.change.state is State.PLANNED:
+            self._move(Cause.START, "")
+        if 0 <= f.back_at <= self.now and self.change.state in (State.STAGE, State.PROVING, State.PAUSED):
+            self._move(Cause.BACK, "told")
+        director.doubtful = set(self.open)
+        decision = director.decide(self.now)
+        for command in decision.commands:
+            if command.say == "fetch":
+                continue
+            number, same = self.open.get(command.node, (0, None))
+            if same != command:
+                self.steps += 1
+                number = self.steps
+                self.open[command.node] = (number, command)
+            if command.say == "try":
+                self.told[command.node] = self.now
+                director.told(command.node, self.now)
+            if self.now < f.until and self.rng.random() < f.controller_deaths:
+                self._replace_controller()  # between the intent and the word
+                return
+            self._word(command.node, command, number)
+        asked = {command.node for command in decision.commands}
+        for name, (number, command) in list(self.open.items()):
+            if name not in asked and command.say in self._holding():
+                self._word(name, command, number)
+        if decision.cause is not None:
+            self._move(decision.cause, decision.why)
+
+    def _holding(self) -> tuple[str, ...]:
+        state = self.change.state
+        if state in (State.STAGE, State.PROVING):
+            return ("try",)
+        return ("hold", "confirm") if state is State.CONFIRMING else ("back",)
+
+    def _move(self, cause: Cause, why: str) -> None:
+        self.director.move(cause, why, self.now)
+        self.stored = msgspec.json.encode(self.change)
+
+    # ------------------------------------------------------------ the whole
+
+    def run(self, seconds: float) -> None:
+        """Play it; the limits are looked at in each tick."""
+        end = self.now + seconds
+        while self.now < end:
+            target = self.now + TICK
+            while self.queue and self.queue[0][0] <= target:
+                self.now, _, call, arguments = heapq.heappop(self.queue)
+                call(*arguments)
+            self.now = target
+            for node in self.nodes.values():
+                node.tick()
+            self._lead()
+            self._look()
+            if self.change.state in (*OVER, State.PERSON) and self.now > self.faults.until + 60 and self.settled():
+                return
+
+    def _look(self) -> None:
+        moving = [n for n in self.nodes.values() if n.moving]
+        by_site: dict[str, int] = {}
+        for n in moving:
+            by_site[n.site] = by_site.get(n.site, 0) + 1
+        most = max(by_site.values(), default=0)
+        self.most_moving = max(self.most_moving, len(moving))
+        self.most_of_site = max(self.most_of_site, most)
+        self.over += len(moving) > self.limits.most or most > self.limits.most_of_site
+
+    def settled(self) -> bool:
+        """Whether every node serves and none is on trial."""
+        return all(n.core.course is Course.SETTLED and n.core.running == n.core.lasting.present
+                   for n in self.nodes.values())
+
+    def running(self) -> dict[str, int]:
+        """How many nodes run which generation."""
+        counts: dict[str, int] = {}
+        for n in self.nodes.values():
+            counts[n.core.running] = counts.get(n.core.running, 0) + 1
+        return counts
+
+
+def order_of(change: Change, name: str) -> Order:
+    """The trial as one node is told of it; for tests."""
+    return Director(change, {name: "s"}, 0.0)._order(name)
--- a/tests/keeper/test_core.py
+++ b/tests/keeper/test_core.py
@@ -265,6 +265,9 @@
     assert m.core.state == "proving" and m.core.trial == NEW and m.core.lasting.present == OLD
     m.core.resume(Lasting(), [Proc(7, NEW, 0.0, 0.0)], 7, None, m.now)
     assert m.core.state == "serving" and m.core.lasting.present == NEW
+    m.core.resume(Lasting(), [Proc(7, NEW, m.now)], None, 7, m.now)  # it had only just been started
+    m.ready(7)
+    assert m.core.state == "serving" and m.core.lasting.present == NEW and not any(isinstance(a, Kill) for a in m.log)
 
 
 def test_nodes_that_die_together_do_not_start_in_step() -> None:
--- a/tests/keeper/test_parts.py
+++ b/tests/keeper/test_parts.py
@@ -162,11 +162,11 @@
     with pytest.raises(StateError, match="none"):
         file.read()
     file.write(saved())
-    assert file.read() == saved() and StateFile(tmp_path).read_epoch() == 3
+    assert file.read() == saved() and StateFile(tmp_path).read_fence() == (3, 7)
     file.path.write_bytes(b"")
     with pytest.raises(StateError, match="empty"):
         file.read()
-    assert StateFile(tmp_path).read_epoch() == 3  # who was fenced off stays so
+    assert StateFile(tmp_path).read_fence() == (3, 7)  # who was fenced off stays so
 
 
 @pytest.mark.parametrize("point", ["keeper.state", "keeper.state_written"])
@@ -179,7 +179,7 @@
     done = subprocess.run([sys.executable, "-c", code], env=env, timeout=PATIENCE)
     assert done.returncode == -signal.SIGKILL
     file = StateFile(tmp_path)
-    assert file.read().fence.epoch == (4 if point == "keeper.state_written" else 3) and file.read_epoch() == 4
+    assert file.read().fence.epoch == (4 if point == "keeper.state_written" else 3) and file.read_fence() == (4, 7)
 
 
 def test_a_full_disk_leaves_what_was_there(tmp_path: Path) -> None:
--- a/tests/operations/test_calls_on_sockets.py
+++ b/tests/operations/test_calls_on_sockets.py
@@ -12,8 +12,7 @@
 
 import pytest
 
-from headspar.__main__ import NO_HANDOVER
-from headspar.identity import PACKAGE, settings_digest, start_ticks, tree_digest
+from headspar.identity import NO_HANDOVER, PACKAGE, settings_digest, start_ticks, tree_digest
 from tests.loopback import PATIENCE, Node, answer, free_address, reset, running, text, wait_for
 
 
