Prove changes in stages over processes with faults between them, and mend what that showed

Need: each piece is proven by tests that start several processes and break what lies between them. Change: twelve tests over real nodes, keepers and controllers (killed at failpoints and drawn moments, asleep past the lease, links that lose, delay and repeat, sites cut off, bad generations, torn and lost state, foreign pids, full disks), the audit judging each. Mended, each seen to fail first: a trial that says ready and accepts nothing was confirmed (a second without an answer now proves nothing); a site that died was blamed on the changed node, as its neighbours were last heard a moment later; a controller that stood still held its own silence against nodes; a keeper whose state was lost forgot its last step (it lies beside the epoch now).

--- a/headspar/keeper/core.py
+++ b/headspar/keeper/core.py
@@ -490,6 +490,12 @@
             self.drained = True
         return self.advance(now)
 
+    def unwell(self, key: int, now: float) -> None:
+        """What serves did not answer just now: time in which it does not is no proof of a trial."""
+        order = self.lasting.order
+        if key == self.serving and self.course is K.PROVING and order is not None:
+            self.proving_until = now + order.proving_s
+
     def silent(self, key: int, now: float) -> list[Action]:
         """What serves answers nothing any more: a trial that is not proven yet is ended for it."""
         p = self.procs.get(key)
--- a/headspar/keeper/host.py
+++ b/headspar/keeper/host.py
@@ -458,6 +458,8 @@
         if answers and self.core.course is Course.PROVING:
             answers = await healthy(parse_address(self.own.listen, "listen"))
         now = time.monotonic()
+        if not answers:
+            self.core.unwell(key, now)
         if answers:
             self.silent_since = -1.0
         elif self.silent_since < 0:
--- a/headspar/lab/kept.py
+++ b/headspar/lab/kept.py
@@ -318,6 +318,9 @@
             elif event["event"] == "keeper.signalled" and event["signal"] in ("SIGTERM", "SIGKILL"):
                 what = "node_term" if event["signal"] == "SIGTERM" else "node_kill"
                 marks.append(Mark(at, what, node.name))
+            elif event["event"] == "keeper.silent":  # as good as dead for as long
+                halves = int(2 * event["seconds"]) + 3
+                marks += [Mark(at - i * 500_000, "node_kill", node.name) for i in range(halves)]
             elif event["event"] == "keeper.process_ended":
                 if event["status"] not in (0, -1):  # by itself, or by force: what it had is gone
                     marks.append(Mark(at - 50_000, "node_kill", node.name))
--- a/headspar/rollout/host.py
+++ b/headspar/rollout/host.py
@@ -31,6 +31,7 @@
     try:
         async with asyncio.timeout(seconds):
             reader, writer = await asyncio.open_connection(*parse_address(member.keeper, "keeper"), limit=m.MAX_LINE)
+            failpoint("rollout.sending" if not isinstance(message, m.Ask | m.Touch) else "rollout.hearing")
             writer.write(m.encode(message))
             line = await reader.readline()
         return msgspec.json.decode(line, type=m.Reply)
--- a/headspar/rollout/rehearsal.py
+++ b/headspar/rollout/rehearsal.py
@@ -127,7 +127,7 @@
         old = self.core
         lasting = Lasting() if lost else old.lasting
         if lost:
-            self.fence = Fence(self.fence.epoch)  # it lies in a file of its own, and the node knows it
+            self.fence = Fence(self.fence.epoch, self.fence.step)  # it lies in a file of its own
             if not old.procs:
                 lasting = Lasting(present=OLD)
         self.core = self._core()
--- a/headspar/rollout/state.py
+++ b/headspar/rollout/state.py
@@ -140,6 +140,7 @@
     def __init__(self, change: Change, sites: Mapping[str, str], began: float) -> None:
         self.change, self.sites = change, sites
         self.began = began  # the clock when this controller began: silence before it is not held against nodes
+        self.last = began
         self.seen = {name: Seen() for name in sites}
         # Nodes to which a word is on its way, or went and was never answered: they may be changing at this moment.
         self.doubtful: set[str] = set()
@@ -182,9 +183,14 @@
         """Whether it has the goal in any way: on trial, present, or running."""
         return self.change.goal in (status.trial, status.present, status.running)
 
+    def _changed(self, name: str) -> bool:
+        """Whether it had the goal when it was last heard of."""
+        status = self.seen[name].status
+        return status is not None and self.on_goal(status)
+
     def _proved(self, status: Status) -> bool:
         goal = self.change.goal
-        return status.trial == goal and status.proved or self._confirmed(status)
+        return status.trial == goal and status.proved and status.answers or self._confirmed(status)
 
     def _confirmed(self, status: Status) -> bool:
         """It has the goal for good, though it may be down just now."""
@@ -211,6 +217,9 @@
     def decide(self, clock: float) -> Decision:
         """What is to be done now."""
         state = self.change.state
+        if clock - self.last > self.change.ways.lost_s / 3:
+            self.began = clock  # it was we who stood still: nobody's silence in that time tells anything
+        self.last = clock
         if state is S.STAGE or state is S.PROVING:
             failure = self._failure(clock)
             if failure:
@@ -250,8 +259,8 @@
         if not lost:
             return ""
         site = self.sites[lost[0]]
-        others = [n for n in self.sites if self.sites[n] == site and n not in self.nodes()]
-        gone = [n for n in others if self.age(n, clock) > ways.lost_s]
+        others = [n for n, s in self.sites.items() if s == site and not self._changed(n)]
+        gone = [n for n in others if self.age(n, clock) > 0.75 * ways.lost_s]  # last heard a little later, say
         if others and 2 * len(gone) >= len(others):
             return f"site {site} is not heard of, old nodes and new ones alike"
         return f"{lost[0]} is not heard of"
--- a/tests/keeper/test_core.py
+++ b/tests/keeper/test_core.py
@@ -106,6 +106,19 @@
     assert m.core.lasting.outcome is not None and m.core.lasting.outcome.result == "confirmed"
 
 
+def test_time_in_which_it_does_not_answer_proves_nothing() -> None:
+    m = Machine().serve()
+    m.order()
+    m.ready()
+    m.run(9.0)
+    assert m.core.serving is not None
+    m.core.unwell(m.core.serving, m.now)
+    m.run(9.0)
+    assert not m.core.proved(m.now)
+    m.do(list(m.core.silent(m.core.serving, m.now)))
+    assert isinstance(m.log[-1], Kill)
+
+
 def test_a_trial_that_does_not_start_leaves_the_old_one_where_it_is() -> None:
     m = Machine().serve()
     m.order()
--- /dev/null
+++ b/tests/rollout/runs.py
@@ -0,0 +1,216 @@
+"""Changes over real processes: what each test of them shares, and what is read off the logs afterwards."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+from msgspec.structs import replace
+
+from headspar.keeper import messages as m
+from headspar.lab.kept import KeptRun, Script, run_kept
+from headspar.lab.run import Result
+from headspar.rollout.fleet import Member
+from headspar.rollout.host import send
+from headspar.rollout.record import Record, Step
+from headspar.rollout.state import Change, State
+from headspar.world.scenario import Scenario, parse
+
+STALL_MS = 150.0  # a busy machine's own, beyond the slack
+TABLE = """max_out = 2
+max_out_site = 1
+proving_s = 1.0
+settle_s = 0.2
+poll_s = 0.15
+lease_s = 1.0
+ready_s = 12.0
+lost_s = 4.0
+shares = "0.5 1"
+"""
+KEEPER = "start_s = 10.0\ndrain_s = 2.0\nend_s = 6.0\n"
+PATIENCE_S = 45.0
+
+
+def scenario(nodes: int, seconds: float = 8.0) -> Scenario:
+    s = parse(f'name = "kept"\nlength_s = {seconds}\n[nodes]\ncount = {nodes}\n[load]\nrps = 60\n')
+    return replace(s, rules=replace(s.rules, lateness_ms=150.0, answer_slack_ms=s.rules.answer_slack_ms + STALL_MS))
+
+
+def judged(script: Script, dir: Path, nodes: int, seconds: float = 8.0, table: str = TABLE,
+           keeper_table: str = KEEPER) -> tuple[Result, KeptRun]:
+    """A run that the lab can vouch for; on a machine that is busy elsewhere it may take a second one."""
+    for i in range(2):
+        result, run = run_kept(scenario(nodes, seconds), 1, dir / str(i), script, table, keeper_table)
+        if result.verdict.valid:
+            break
+    v = result.verdict
+    assert v.valid, v.doubts
+    assert not any(v.counts.values()), [x.line() for x in v.violations[:10]]
+    assert v.taken > 100
+    return result, run
+
+
+def new_line(folder: Path) -> None:
+    """A harmless change of the program."""
+    path = folder / "program" / "headspar" / "reasons.py"
+    path.write_text(path.read_text() + "# another version\n")
+
+
+def planted(file: str, before: str, after: str) -> Callable[[Path], None]:
+    """A change of the program in which a piece of text is another."""
+    def change(folder: Path) -> None:
+        path = folder / "program" / "headspar" / file
+        text = path.read_text()
+        assert before in text
+        path.write_text(text.replace(before, after, 1))
+
+    return change
+
+
+def settings_with(**limits: Any) -> Callable[[Path], None]:
+    """A change of the settings alone."""
+    def change(folder: Path) -> None:
+        path = folder / "settings.json"
+        raw = json.loads(path.read_text())
+        raw["policy_limits"] |= limits
+        path.write_text(json.dumps(raw))
+
+    return change
+
+
+async def until(what: Callable[[], Any] | Callable[[], Awaitable[Any]], seconds: float = PATIENCE_S) -> Any:
+    """Poll until it is true; its value."""
+    end = time.monotonic() + seconds
+    while True:
+        value = what()
+        if asyncio.iscoroutine(value):
+            value = await value
+        if value:
+            return value
+        assert time.monotonic() < end, "waited in vain"
+        await asyncio.sleep(0.03)
+
+
+Process = asyncio.subprocess.Process
+
+
+async def start(run: KeptRun, folder: Path, name: str, *more: str, failpoints: str = "") -> Process:
+    arguments = ("start", str(run.operator_path), str(folder), "--name", name, "--yes", "--json", *more)
+    return await run.controller(*arguments, failpoints=failpoints)
+
+
+async def lead(run: KeptRun, *more: str, failpoints: str = "") -> Process:
+    return await run.controller("run", str(run.operator_path), "--json", *more, failpoints=failpoints)
+
+
+async def ended(process: Process, seconds: float = PATIENCE_S) -> int:
+    async with asyncio.timeout(seconds):
+        return await process.wait()
+
+
+async def status(run: KeptRun, name: str) -> m.Status | None:
+    """What a keeper says, asked past any fault of its link."""
+    keeper = run.keepers[name]
+    try:
+        return (await send(Member(name, "", f"{keeper.listen[0]}:{keeper.listen[1]}"), m.Ask())).status
+    except OSError:
+        return None
+
+
+async def statuses(run: KeptRun) -> dict[str, m.Status]:
+    found = await asyncio.gather(*(status(run, name) for name in run.keepers))
+    return {s.name: s for s in found if s is not None}
+
+
+async def settled(run: KeptRun, label: str) -> bool:
+    """Whether all nodes run a generation and are on nothing else."""
+    found = await statuses(run)
+    goal = run.generations[label]
+    return len(found) == len(run.keepers) and all(
+        s.running == s.present == goal and s.course == "settled" for s in found.values())
+
+
+def record(run: KeptRun) -> Record:
+    return Record(run.dir / "record.db")
+
+
+def change(run: KeptRun) -> Change:
+    found = record(run).latest()
+    assert found is not None
+    return found[0]
+
+
+def state(run: KeptRun) -> State | None:
+    try:
+        found = record(run).latest()
+    except Exception:  # it is being made
+        return None
+    return found[0].state if found else None
+
+
+def events(run: KeptRun, event: str, **fields: Any) -> dict[str, list[dict[str, Any]]]:
+    """Events of all keepers with these fields, by node."""
+    return {
+        name: [e for e in keeper.events() if e["event"] == event and all(e.get(k) == v for k, v in fields.items())]
+        for name, keeper in run.keepers.items()
+    }
+
+
+def starts(run: KeptRun, label: str) -> dict[str, int]:
+    """How many processes of a generation each keeper has started."""
+    found = events(run, "keeper.process_started", generation=run.generations[label])
+    return {name: len(rows) for name, rows in found.items()}
+
+
+def steps_twice(run: KeptRun) -> list[tuple[str, int]]:
+    """Steps that a keeper took as new more than once."""
+    out = []
+    for name, rows in events(run, "keeper.command", verdict="new").items():
+        counts = Counter(row["step"] for row in rows if row["step"])
+        out += [(name, step) for step, count in counts.items() if count > 1]
+    return out
+
+
+def unknown_steps(run: KeptRun, name: str) -> list[Step]:
+    """Steps of a change that have no outcome."""
+    return [s for s in record(run).steps(name) if s.outcome is None]
+
+
+def strangers_signalled(run: KeptRun) -> list[int]:
+    """Signals to what no keeper had started or found."""
+    out = []
+    for keeper in run.keepers.values():
+        ours: set[int] = set()
+        for e in keeper.events():
+            if e["event"] in ("keeper.process_started", "keeper.process_found"):
+                ours.add(e["pid"])
+            elif e["event"] == "keeper.signalled" and e["pid"] not in ours:
+                out.append(e["pid"])
+    return out
+
+
+def most_moving(run: KeptRun) -> tuple[int, int]:
+    """The most nodes that were on their way at once, in all and of one site, by their keepers' own log of times: from
+    a process beside, a drain or a start to the one that serves."""
+    moves = []
+    for name, keeper in run.keepers.items():
+        site = run.nodes[name].config["settings"]["az"]
+        for e in keeper.events():
+            if e["event"] == "keeper.moved" and e["table"] == "phase" and run.at(e) > run.began_at:
+                out = e["after"] in ("beside", "draining", "starting", "absent", "reloading")
+                moves.append((run.at(e), out, name, site))
+    on_way: dict[str, str] = {}
+    most = of_site = 0
+    for _, out, name, site in sorted(moves):
+        if out:
+            on_way[name] = site
+        else:
+            on_way.pop(name, None)
+        most = max(most, len(on_way))
+        of_site = max([of_site, *Counter(on_way.values()).values()])
+    return most, of_site
--- /dev/null
+++ b/tests/rollout/test_over_processes.py
@@ -0,0 +1,435 @@
+"""Changes over real nodes, keepers and controllers, with faults between them; the audit judges the four rules."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import shutil
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import msgspec
+
+from headspar.identity import start_ticks
+from headspar.keeper.state import decode, encode
+from headspar.lab.kept import KeptRun
+from headspar.lab.links import CUT, DEAF, WELL, Fault
+from headspar.rollout.state import State
+from tests.rollout import runs
+from tests.rollout.runs import (
+    change,
+    ended,
+    events,
+    judged,
+    lead,
+    new_line,
+    planted,
+    record,
+    settings_with,
+    settled,
+    start,
+    starts,
+    state,
+    status,
+    statuses,
+    steps_twice,
+    strangers_signalled,
+    unknown_steps,
+    until,
+)
+
+
+def kept_well(run: KeptRun, name: str = "c1") -> None:
+    """What must hold after any change: nothing twice, nothing open, nobody else's process signalled."""
+    assert steps_twice(run) == [] and strangers_signalled(run) == []
+    assert unknown_steps(run, name) == []
+
+
+def test_a_change_of_twelve_nodes_loses_nothing_and_keeps_the_limits(tmp_path: Path) -> None:
+    async def script(run: KeptRun) -> None:
+        folder = run.generation("new", new_line)
+        first = await start(run, folder, "c1")
+        await until(lambda: state(run) not in (None, State.PLANNED))
+        second = await start(run, folder, "c2", "--anyway")
+        assert await ended(second) == 1  # refused by name
+        assert await ended(first) == 0
+        assert await settled(run, "new")
+
+    result, run = judged(script, tmp_path, 12, 14.0)
+    assert "'c1' is" in run.controller_log.read_text()
+    assert set(starts(run, "new").values()) == {1} and change(run).state is State.DONE
+    kept_well(run)
+    most, of_site = runs.most_moving(run)
+    assert 1 <= most <= 2 and of_site == 1
+    assert result.verdict.excused == 0 and result.verdict.served >= 0.99 * result.verdict.taken
+    # No key or body of a request stands in what keepers say.
+    for keeper in run.keepers.values():
+        assert "Idempotency" not in keeper.log.read_text()
+
+
+POINTS = ["rollout.before", "rollout.intent", "rollout.answered", "rollout.outcome", "rollout.move", "rollout.moved",
+          "record.begin", "record.commit"]
+
+
+def test_a_controller_killed_at_each_failpoint_and_at_drawn_moments_is_followed_by_one_that_goes_on(
+    tmp_path: Path,
+) -> None:
+    killed = []
+
+    async def script(run: KeptRun) -> None:
+        rng = random.Random(7)
+        folder = run.generation("new", new_line)
+        begun = await start(run, folder, "c1", failpoints="rollout.moved=kill")
+        killed.append(await ended(begun))
+        for i, point in enumerate(POINTS):
+            leader = await lead(run, failpoints=f"{point}=kill@{1 + (i > 5) * 4}")
+            killed.append(await ended(leader))
+        for _ in range(4):
+            leader = await lead(run)
+            await asyncio.sleep(rng.uniform(0.9, 2.5))
+            if leader.returncode is None:
+                leader.kill()
+            killed.append(await ended(leader))
+        assert await ended(await lead(run)) == 0
+        assert await settled(run, "new")
+
+    _, run = judged(script, tmp_path, 6)
+    assert killed.count(-signal.SIGKILL) >= 6, killed
+    assert set(starts(run, "new").values()) == {1} and change(run).state is State.DONE
+    kept_well(run)
+    assert record(run).holder()[1] >= 8  # so many epochs
+
+
+def test_a_controller_that_slept_through_its_lease_has_every_word_refused(tmp_path: Path) -> None:
+    async def script(run: KeptRun) -> None:
+        folder = run.generation("new", new_line)
+        first = await start(run, folder, "c1", failpoints="rollout.sending=stop@8")
+        await until(lambda: Path(f"/proc/{first.pid}/stat").read_text().rpartition(")")[2].split()[0] == "T")
+        second = await lead(run)
+        await until(lambda: record(run).holder()[1] == 2)
+        await until(lambda: _heard(run, 2))
+        first.send_signal(signal.SIGCONT)
+        assert await ended(first) == 4
+        assert await ended(second) == 0
+        assert await settled(run, "new")
+
+    _, run = judged(script, tmp_path, 4)
+    fenced = [row for rows in events(run, "keeper.command", verdict="fenced").values() for row in rows]
+    taken = [row for rows in events(run, "keeper.command", verdict="new").values() for row in rows]
+    assert fenced and all(row["epoch"] == 1 for row in fenced)
+    assert [row["epoch"] for row in taken if row["epoch"] == 1]  # it had led until then
+    kept_well(run)
+    assert set(starts(run, "new").values()) == {1}
+
+
+async def _heard(run: KeptRun, epoch: int) -> bool:
+    found = await statuses(run)
+    return len(found) == len(run.keepers) and all(s.epoch >= epoch for s in found.values())
+
+
+def test_words_lost_late_and_twice_and_a_third_of_the_keepers_cut_off(tmp_path: Path) -> None:
+    async def script(run: KeptRun) -> None:
+        names = sorted(run.links)
+        bad = Fault(drop=0.1, lose=0.2, late=0.1, late_s=4.0, twice=0.3, reset=0.05, hang=0.02, words='"step"')
+        for link in run.links.values():
+            link.fault = bad
+        folder = run.generation("new", new_line)
+        first = await start(run, folder, "c1", "--stay")
+        await until(lambda: state(run) is State.PROVING)
+        run.links[names[0]].fault, run.links[names[1]].fault = CUT, DEAF  # in the middle of a stage
+        await asyncio.sleep(1.0)
+        asked = await run.controller("back", str(run.operator_path), "--yes")
+        assert await ended(asked) == 0
+        await until(lambda: state(run) in (State.BACK, State.TAKEN_BACK))
+        await asyncio.sleep(1.0)
+        run.links[names[0]].fault = run.links[names[1]].fault = bad  # the cut ends in the middle of going back
+        await until(lambda: state(run) is State.TAKEN_BACK)
+        await until(lambda: settled(run, "old"))
+        for link in run.links.values():
+            link.fault = WELL
+        await asyncio.sleep(4.2)  # what was held up has come by now
+        assert await settled(run, "old")
+        first.terminate()
+        await ended(first)
+        counts: dict[str, int] = {}
+        for link in run.links.values():
+            for what, n in link.counts.items():
+                counts[what] = counts.get(what, 0) + n
+        assert {"lose", "twice"} <= counts.keys(), counts
+
+    _, run = judged(script, tmp_path, 6)
+    assert steps_twice(run) == [] and strangers_signalled(run) == []
+    assert change(run).state is State.TAKEN_BACK
+
+
+DIES = planted("process.py", "        self._sweep()\n        self._tend()\n        gc.collect()",
+               "        self.loop.call_later(0.4, os._exit, 1)\n        self._sweep()\n        self._tend()\n"
+               "        gc.collect()")
+MUTE = planted("process.py", "        await self._listen()\n        node.lifecycle",
+               "        self.socket.listen(64)\n        node.lifecycle")
+DEAF_TO_TERM = planted("process.py", "loop.add_signal_handler(signal.SIGTERM, self.stopping.set)",
+                       "loop.add_signal_handler(signal.SIGTERM, lambda: None)")
+SPEAKS_OTHERWISE = planted("handover/messages.py", "VERSION = 1", "VERSION = 9")
+NO_START = planted("process.py", "        node.settle()", "        raise OSError(5, 'planted')")
+
+
+def test_generations_that_do_not_start_die_hang_or_accept_nothing_are_taken_back(tmp_path: Path) -> None:
+    ends = {}
+
+    async def script(run: KeptRun) -> None:
+        for name, what in (("no-start", NO_START), ("dies", DIES), ("mute", MUTE),
+                           ("turned-down", settings_with(try_limit="many"))):
+            folder = run.generation(name, what)
+            ends[name] = await ended(await start(run, folder, name)), why(run, name)
+            await until(lambda: settled(run, "old"))
+        folder = run.generation("deaf", DEAF_TO_TERM)
+        led = await start(run, folder, "deaf")
+        await until(lambda: state(run) is State.PROVING)
+        await ended(await run.controller("back", str(run.operator_path), "--yes"))
+        ends["deaf"] = await ended(led), why(run, "deaf")
+        await until(lambda: settled(run, "old"))
+        folder = run.generation("limits", settings_with(try_limit=4))
+        ends["limits"] = await ended(await start(run, folder, "limits")), ""
+        for name in run.nodes:
+            assert (await run.node(name).who())["generation"] == run.generations["old"]  # by signal alone
+        assert await settled(run, "limits")
+
+    _, run = judged(script, tmp_path, 3)
+    assert {name: end for name, (end, _) in ends.items()} == {
+        "no-start": 1, "dies": 1, "mute": 1, "turned-down": 1, "deaf": 1, "limits": 0}, ends
+    assert "did not start" in ends["no-start"][1] or "failed to start" in ends["no-start"][1]
+    assert "died" in ends["dies"][1] and "settings turned down" in ends["turned-down"][1]
+    for name in ("no-start", "dies", "mute", "turned-down"):
+        assert sum(count > 0 for count in starts(run, name).values()) <= 1  # one node met it
+    killed = [row for rows in events(run, "keeper.signalled", signal="SIGKILL").values() for row in rows]
+    assert killed  # the one that is deaf to SIGTERM
+    assert strangers_signalled(run) == [] and steps_twice(run) == []
+
+
+def test_where_the_hand_over_can_not_be_had_nodes_are_drained_and_started(tmp_path: Path) -> None:
+    async def script(run: KeptRun) -> None:
+        folder = run.generation("new", SPEAKS_OTHERWISE)
+        assert await ended(await start(run, folder, "c1")) == 0
+        assert await settled(run, "new")
+
+    result, run = judged(script, tmp_path, 6, 16.0)
+    kept_well(run)
+    # One is alone in its site or not, by the draw of sites; each that has a neighbour was drained.
+    drained = [rows for rows in events(run, "keeper.moved", table="phase", after="draining").values() if rows]
+    assert len(drained) == 6 and result.verdict.excused == 0
+    assert runs.most_moving(run)[1] == 1
+
+
+def why(run: KeptRun, name: str) -> str:
+    return "; ".join(move.why for move in record(run).moves(name) if move.why)
+
+
+KEEPER_POINTS = ["keeper.spawned", "keeper.start", "keeper.ready", "keeper.acted", "keeper.term", "keeper.taken",
+                 "keeper.done", "keeper.state", "keeper.state_written", "keeper.answer"]
+
+
+def test_keepers_killed_at_each_of_their_steps_find_their_nodes_again(tmp_path: Path) -> None:
+    async def script(run: KeptRun) -> None:
+        names = sorted(run.keepers)
+        died = set()
+        pids = {name: (await run.node(name).who())["pid"] for name in names}
+        for name, point in zip(names, KEEPER_POINTS, strict=False):
+            run.keepers[name].kill()
+            run.keepers[name].start(f"{point}=kill@{3 if 'state' in point or 'answer' in point else 1}")
+
+        async def restart() -> None:
+            while True:
+                for name, keeper in run.keepers.items():
+                    if keeper.process is not None and keeper.process.poll() is not None:
+                        died.add(name)
+                        keeper.start()
+                await asyncio.sleep(0.05)
+
+        restarting = asyncio.create_task(restart())
+        await until(lambda: _running(run, "old"))
+        for name in names:  # a keeper that was killed never touched its node
+            assert (await run.node(name).who())["pid"] == pids[name]
+        folder = run.generation("new", new_line)
+        end = await ended(await start(run, folder, "c1"))
+        restarting.cancel()
+        if end != 0:  # one that was killed too often counts as failed: the fleet is on the old one then
+            assert end == 1
+        await until(lambda: settled(run, "new" if end == 0 else "old"))
+        assert len(died) >= 5, died
+
+    _, run = judged(script, tmp_path, 10, 12.0)
+    assert steps_twice(run) == [] and strangers_signalled(run) == []
+
+
+async def _running(run: KeptRun, label: str) -> bool:
+    found = await statuses(run)
+    return len(found) == len(run.keepers) and all(s.running == run.generations[label] for s in found.values())
+
+
+def test_state_torn_old_empty_or_gone_a_pid_that_is_anothers_and_keeper_and_node_killed_together(
+    tmp_path: Path,
+) -> None:
+    stranger = subprocess.Popen([sys.executable, "-c", "import time; time.sleep(300)"])
+
+    async def script(run: KeptRun) -> None:
+        names = sorted(run.keepers)
+        old = {name: (run.keepers[name].folder / "state").read_bytes() for name in names}
+        folder = run.generation("new", new_line)
+        assert await ended(await start(run, folder, "c1")) == 0
+        pids = {name: (await run.node(name).who())["pid"] for name in names}
+        fences = {name: s.epoch for name, s in (await statuses(run)).items()}
+        for name in names:
+            run.keepers[name].kill()
+        paths = [run.keepers[name].folder / "state" for name in names]
+        paths[0].write_bytes(b"")
+        paths[1].write_bytes(paths[1].read_bytes()[:-20])
+        paths[2].unlink()
+        paths[3].write_bytes(old[names[3]])  # from before the change
+        saved = decode(paths[4].read_bytes())
+        # The pid that it remembers is another process's by now.
+        saved.processes = [msgspec.structs.replace(saved.processes[0], pid=stranger.pid)]
+        paths[4].write_bytes(encode(saved))
+        os.kill(pids[names[5]], signal.SIGKILL)  # keeper and node together
+        run.node(names[5]).marks.append(_killed(run, names[5]))
+        for name in names:
+            run.keepers[name].start()
+        await until(lambda: _running(run, "new"))
+        for name in names[:5]:
+            assert (await run.node(name).who())["pid"] == pids[name], name
+        found = await statuses(run)
+        assert all(s.epoch >= fences[name] for name, s in found.items())  # who was fenced off stays so
+        assert found[names[3]].trial == run.generations["new"]  # what its old state does not know is on trial
+        assert stranger.poll() is None and start_ticks(stranger.pid) > 0
+        # All of it lost on one machine, and its generations: it learns from its node what it holds.
+        keeper = run.keepers[names[0]]
+        keeper.kill()
+        for lost in ("state", "fence"):
+            (keeper.folder / lost).unlink(missing_ok=True)
+        shutil.rmtree(keeper.folder / "generations")
+        keeper.start()
+        await until(lambda: status(run, names[0]))
+        assert (await run.node(names[0]).who())["pid"] == pids[names[0]]
+        found_one = await status(run, names[0])
+        assert found_one is not None and found_one.epoch >= fences[names[0]]
+
+    try:
+        _, run = judged(script, tmp_path, 6, 14.0)
+    finally:
+        stranger.kill()
+        stranger.wait()
+    assert strangers_signalled(run) == []
+    assert any(row["pid"] == stranger.pid for rows in events(run, "keeper.not_ours").values() for row in rows)
+
+
+def _killed(run: KeptRun, name: str):  # type: ignore[no-untyped-def]
+    from headspar.lab.children import now_us
+    from headspar.world.records import Mark
+
+    return Mark(now_us(), "node_kill", name)
+
+
+def test_a_disk_that_is_full_stops_the_change_and_no_node(tmp_path: Path) -> None:
+    async def script(run: KeptRun) -> None:
+        names = sorted(run.keepers)
+        folder = run.generation("new", new_line)
+        # The record's: the controller ends and says so; nothing has been begun that it does not know.
+        first = await start(run, folder, "c1", failpoints="record.begin=ENOSPC@5+")
+        assert await ended(first) == 4
+        # A keeper's: it takes no command, and its node is started again all the same when it dies.
+        names = [name for name in names if name not in change(run).stages[0]]
+        keeper = run.keepers[names[0]]
+        keeper.kill()
+        keeper.start("keeper.state=ENOSPC@1+")
+        await until(lambda: status(run, names[0]))
+        await run.node(names[0]).kill_node()
+        await until(lambda: _serves(run, names[0]))
+        led = await lead(run, "--stay")
+        await until(lambda: _refused(run, names[0]))
+        assert (found := await status(run, names[0])) is not None and found.trial == ""
+        keeper.kill()
+        keeper.start()
+        await until(lambda: state(run) in (State.DONE, State.TAKEN_BACK))
+        await until(lambda: settled(run, "new" if state(run) is State.DONE else "old"))
+        led.terminate()
+        await ended(led)
+
+    _, run = judged(script, tmp_path, 3, 12.0, table=runs.TABLE + 'on_failure = "back"\n')
+    assert "No space left" in run.controller_log.read_text()
+    assert strangers_signalled(run) == [] and steps_twice(run) == []
+
+
+async def _serves(run: KeptRun, name: str) -> bool:
+    found = await status(run, name)
+    return found is not None and bool(found.running)
+
+
+def _refused(run: KeptRun, name: str) -> bool:
+    text = run.controller_log.read_text()
+    return any("the disk takes no state" in line and f'"{name}"' in line for line in text.splitlines())
+
+
+def test_a_site_that_dies_in_a_stage_pauses_the_change_and_it_goes_on_when_told(tmp_path: Path) -> None:
+    async def script(run: KeptRun) -> None:
+        folder = run.generation("new", new_line)
+        led = await start(run, folder, "c1", "--stay")
+        await until(lambda: state(run) is State.PROVING and change(run).stage == 1)
+        site = run.nodes[change(run).stages[0][0]].config["settings"]["az"]
+        gone = [n for n, node in run.nodes.items() if node.config["settings"]["az"] == site]
+        for name in gone:
+            run.links[name].fault = CUT
+        await until(lambda: state(run) is State.PAUSED)
+        assert f"site {site} is not heard of" in change(run).why
+        for name in gone:
+            run.links[name].fault = WELL
+        await ended(await run.controller("resume", str(run.operator_path)))
+        await until(lambda: state(run) is State.DONE)
+        assert await settled(run, "new")
+        led.terminate()
+        await ended(led)
+
+    _, run = judged(script, tmp_path, 6, 12.0)
+    kept_well(run)
+
+
+def test_a_fleet_of_which_a_third_does_not_answer_is_not_begun_upon(tmp_path: Path) -> None:
+    async def script(run: KeptRun) -> None:
+        for name in sorted(run.links)[:2]:
+            run.links[name].fault = CUT
+        folder = run.generation("new", new_line)
+        assert await ended(await start(run, folder, "c1")) == 1
+        assert state(run) is None
+        # Without --yes nothing is done either.
+        for link in run.links.values():
+            link.fault = WELL
+        dry = await run.controller("start", str(run.operator_path), str(folder), "--name", "c1")
+        assert await ended(dry) == 0 and state(run) is None
+        shown = await run.controller("plan", str(run.operator_path), str(folder), "--json")
+        assert await ended(shown) == 0
+
+    _, run = judged(script, tmp_path, 6, 4.0)
+    text = run.controller_log.read_text()
+    assert "not heard of, and only 2 may be out" in text and "nothing done; --yes does it" in text
+    assert set(starts(run, "old").values()) == {1}
+
+
+def test_a_controller_that_never_comes_back_and_keepers_told_to_go_back(tmp_path: Path) -> None:
+    async def script(run: KeptRun) -> None:
+        folder = run.generation("new", new_line)
+        led = await start(run, folder, "c1")
+        await until(lambda: _changed(run, 2))
+        led.kill()
+        await ended(led)
+        await until(lambda: settled(run, "old"))
+
+    table = runs.TABLE + 'silence = "back"\nsilence_s = 2.0\nslot_s = 3.0\n'
+    _, run = judged(script, tmp_path, 4, table=table)
+    assert any(rows for rows in events(run, "keeper.moved", cause="silence").values())
+    assert runs.most_moving(run)[1] == 1
+
+
+async def _changed(run: KeptRun, least: int) -> bool:
+    found = await statuses(run)
+    return sum(s.running == run.generations["new"] for s in found.values()) >= least
--- a/tests/rollout/test_parts.py
+++ b/tests/rollout/test_parts.py
@@ -224,7 +224,7 @@
     d = Director(change(state=state, stage=stage), SITES, 0.0)
     for name in SITES:
         d.heard(name, statuses.get(name, status(name)), 100.0)
-    d.change.since = 90.0
+    d.change.since, d.last = 90.0, 100.0
     return d
 
 
@@ -268,15 +268,30 @@
     for name in SITES:
         if name != "a1":
             d.heard(name, status(name), 110.0)
+    d.last = 110.0
     got = d.decide(110.0)
     assert got.cause is Cause.FAILED and "a1 is not heard of" in got.why
     d = director(State.PROVING, 0, a1=trial("a1"))
     for name in ("b1", "b2"):
         d.heard(name, status(name), 110.0)
+    d.last = 110.0
     got = d.decide(110.0)
     assert got.cause is Cause.FAILED_PAUSE and "site a is not heard of, old nodes and new" in got.why
 
 
+def test_a_controller_that_stood_still_holds_no_silence_of_that_time_against_nodes() -> None:
+    d = director(State.PROVING, 0, a1=trial("a1"))
+    assert d.decide(100.0).cause is Cause.NEXT
+    assert d.decide(130.0).cause is None  # stopped for 30 s, within its lease
+    assert d.decide(131.5).cause is None
+    assert [d.decide(131.5 + i).cause for i in range(7)][-1] is Cause.FAILED_PAUSE  # and now it is theirs
+
+
+def test_a_trial_that_does_not_answer_is_not_proven() -> None:
+    d = director(State.PROVING, 0, a1=trial("a1", answers=False))
+    assert d.decide(100.0).cause is None
+
+
 def test_before_the_confirming_all_hold_so_that_no_half_goes_back_by_itself() -> None:
     ways = msgspec.structs.replace(change().ways, silence="back")
     d = director(State.CONFIRMING, 2, **{n: trial(n, holds=n != "b2") for n in SITES})
--- a/tests/rollout/test_rehearsal.py
+++ b/tests/rollout/test_rehearsal.py
@@ -58,7 +58,7 @@
         for node in world.nodes.values():
             assert node.epochs == sorted(node.epochs), seed
             steps = [step for _, step in node.epochs]
-            assert faults.state_lost or len(steps) == len(set(steps)), seed
+            assert len(steps) == len(set(steps)), seed
         ends.add(world.change.state)
     assert State.PERSON not in ends
 
