Leave an effect with the repeat that was answered for a request called off before it began

Excluded: the node (both copies and the calling off are its rights). At fault: headspar/world/server.py, call_off, which forgot the key although a repeat had been answered for it. Change: the repeat has had the effect then.

--- a/headspar/world/server.py
+++ b/headspar/world/server.py
@@ -42,6 +42,20 @@
         return found
 
 
+    def heir(self, row: Sent, cls: int, server: ServerPlan) -> Sent | None:
+        """The first request that came after ``row`` as its repeat, and was answered so or may still be."""
+        found = None
+        memory = self.memory(cls, server)
+        plans = {p.id: p for p in self.plan.servers}
+        for other in reversed(self.rows):
+            if other.arrived_at < row.arrived_at:
+                break
+            repeat = other.call == row.call and other is not row and not other.effect
+            if repeat and other.fate in (Fate.OPEN, Fate.REPEAT) and self.memory(cls, plans[other.server]) is memory:
+                found = other
+        return found
+
+
 class Faults:
     """What is wrong with a server just now: a share of its requests meets each."""
 
@@ -177,8 +191,14 @@
         began = machine.cancel(now, number)
         if not began and row.effect and fate is Fate.CALLED_OFF and row.fate is fate:
             row.effect = False
-            memory = self.ledger.memory(self.ledger.plan.calls[row.call].cls, self.plan)
-            if memory is not None:
+            cls = self.ledger.plan.calls[row.call].cls
+            memory = self.ledger.memory(cls, self.plan)
+            if memory is None:
+                return
+            heir = self.ledger.heir(row, cls, self.plan)
+            if heir is not None:  # what was answered as its repeat has had the effect in its stead
+                heir.effect = True
+            else:
                 memory.forget(receipt_key(self.ledger.plan.salt, row.call))
 
     def request_is_reset(self) -> bool:
--- a/tests/world/test_server.py
+++ b/tests/world/test_server.py
@@ -58,6 +58,27 @@
     assert not repeat.row.effect
 
 
+def test_a_repeat_that_was_answered_for_one_called_off_before_it_began_has_had_the_effect() -> None:
+    server = made()
+    first, second = job_of(server), job_of(server, skip=1)
+    server.request(first, 0)
+    server.request(second, 0)  # it waits
+    server.ledger.rows += [first.row, second.row]
+    repeat = job_of(server, skip=1)
+    repeat.row.arrived_at = 100
+    server.ledger.rows.append(repeat.row)
+    memory = server.ledger.memory(server.ledger.plan.calls[second.row.call].cls, server.plan)
+    assert memory is not None
+    repeat.row.effect, repeat.row.fate = False, Fate.REPEAT  # at another server of the group, which had room
+    server.call_off(second, Fate.CALLED_OFF, 1000)
+    assert (second.row.effect, repeat.row.effect) == (False, True)
+    again = job_of(server, skip=1)
+    again.row.arrived_at = 2000
+    server.advance(900_000)
+    server.request(again, 2000)
+    assert not again.row.effect  # its key is not free
+
+
 def test_a_full_room_and_a_drain_turn_away_and_leave_no_effect() -> None:
     server = made()
     jobs = [job_of(server, skip=i) for i in range(3)]
