--- a/headspar/keeper/core.py
+++ b/headspar/keeper/core.py
@@ -115,6 +115,7 @@
     silence: Literal["hold", "back"] = "hold"
     silence_s: float = 30.0
     slot: Slot | None = None
+    reload: bool = True  # whether settings alone may go by signal: that proves no start with them
 
 
 class Timing(msgspec.Struct, frozen=True):
@@ -566,12 +567,16 @@
             self.drained = False
             self._phase(C.DRAIN, now)
             self.out.append(Drain(key))
-        elif self.only_settings(running, self.wanted):
+        elif self._may_reload() and self.only_settings(running, self.wanted):
             self._phase(C.RELOAD, now)
             self.out.append(Reload(key, self.wanted))
         else:
             self._start(True, now)
 
+    def _may_reload(self) -> bool:
+        order = self.lasting.order
+        return order is None or not self.trial or order.reload
+
     def _ending(self) -> bool:
         """Whether a process that is neither serving nor coming still runs: it holds an operators' address."""
         return any(key not in (self.serving, self.coming) for key in self.procs)
--- a/headspar/rollout/rehearsal.py
+++ b/headspar/rollout/rehearsal.py
@@ -252,6 +252,8 @@
             self._move(Cause.START, "")
         if 0 <= f.back_at <= self.now and self.change.state in (State.STAGE, State.PROVING, State.PAUSED):
             self._move(Cause.BACK, "told")
+        if self.change.state is State.PAUSED and self.now > f.until:
+            self._move(Cause.RESUME, "told")
         director.doubtful = set(self.open)
         decision = director.decide(self.now)
         for command in decision.commands:
--- a/headspar/rollout/state.py
+++ b/headspar/rollout/state.py
@@ -269,7 +269,8 @@
         ways = self.change.ways
         last = sum(site == self.sites[name] for site in self.sites.values()) == 1
         return Order(self.change.id, self.change.goal, ways.proving_s, ways.restart and not last,
-                     ways.silence, ways.silence_s, self.change.slots.get(name))
+                     ways.silence, ways.silence_s, self.change.slots.get(name),
+                     reload=name not in self.change.stages[0])  # the first one proves that it starts as well
 
     def _fetches(self, names: list[str], generation: str, clock: float) -> list[Command]:
         return [
--- a/tests/keeper/test_core.py
+++ b/tests/keeper/test_core.py
@@ -232,6 +232,12 @@
     assert m.core.lasting.outcome is not None and "limits" in m.core.lasting.outcome.reason
 
 
+def test_where_a_start_is_to_be_proven_settings_alone_go_by_a_second_process_too() -> None:
+    m = Machine().serve()
+    m.order(LIKE, reload=False)
+    assert m.begun[-1] == Start(2, LIKE, True) and not any(isinstance(a, Reload) for a in m.log)
+
+
 def test_silence_goes_back_in_its_own_slot_only() -> None:
     m = Machine().serve()
     m.core.heard(0.0, m.now)
