--- a/tests/rollout/test_for_people.py
+++ b/tests/rollout/test_for_people.py
@@ -28,7 +28,9 @@
     with (tmp_path / "log").open("w") as stream:
         events = Events(stream)
         events.say("keeper.stopped", name="n")
-        wrong = (("keeper.nothing", {}), ("keeper.stopped", {}), ("keeper.stopped", {"name": "n", "x": 1}))
+        wrong: tuple[tuple[str, dict[str, object]], ...] = (
+            ("keeper.nothing", {}), ("keeper.stopped", {}), ("keeper.stopped", {"name": "n", "x": 1}),
+        )
         for event, fields in wrong:
             with pytest.raises(KeyError):
                 events.say(event, **fields)
