Send nothing on whose time ran out while the process stood still, and read lists first

Examined and excluded: requests read before the standstill (each send is held against their deadline), keyed requests on dead connections (proof is younger than 0.9 s by the same clock). At fault: node/core.py, arrived, which gave a request that lay in a socket its whole budget from its reading; _turn, which decided before a list that lay in another socket; discovery._silent, which gave up a watch whose answer was there to be read. Change: a standstill is noticed by the missed beat before the first decision; requests count as having come when it began, lists are read and handed over first, peers' words of that time are dropped, servers' times are counted without it. The lab stops nodes (node_stop), the audit excuses what nobody could answer and catches what is sent after its time.

--- a/headspar/lab/nodes.py
+++ b/headspar/lab/nodes.py
@@ -84,6 +84,7 @@
         self.marks: list[Mark] = []
         self.command = [sys.executable, "-m", "headspar"]
         self.operator: Path | None = None  # its operator's file
+        self.stopped = False  # it stands still
         self.ops = free_address(listen[0])
         self.tmp = dir / f"{name}.tmp"
 
@@ -185,6 +186,8 @@
         if self.process is not None and self.process.returncode is None:
             self.marks.append(Mark(now_us(), what, self.name))
             self.process.send_signal(number)
+            if number in (signal.SIGSTOP, signal.SIGCONT):
+                self.stopped = number == signal.SIGSTOP
 
     async def end(self, seconds: float = 6.0) -> None:
         """Ask it to end, and see to it."""
--- a/headspar/lab/run.py
+++ b/headspar/lab/run.py
@@ -238,6 +238,15 @@
             await asyncio.sleep(self.s.callers.notice_s)
             if node.process is not None and node.process.returncode is not None:
                 self._front(node, False)
+        elif kind == "node_stop":
+            node.signal(signal.SIGSTOP, kind)
+            await asyncio.sleep(self.s.callers.notice_s)
+            if node.stopped:
+                self._front(node, False)
+        elif kind == "node_cont":
+            node.signal(signal.SIGCONT, kind)
+            if await node.ready(READY_S):
+                self._front(node, True)
         elif kind == "node_hup":
             node.configure(self.discovery.desks[node.name].address)
             # Nobody sends it to a node that is not ready yet, whose program may not have heard of the signal.
--- a/headspar/model/simulate.py
+++ b/headspar/model/simulate.py
@@ -105,6 +105,8 @@
         self.doors = {name: Door(name) for name in names}
         self.discovery = Discovery(self.events, scenario, self.plan, names)
         self.file = connections_table(tuning)
+        if any(f.kind == "node_stop" for f in scenario.faults):
+            raise TuningError("faults: node_stop: the model knows none; run it in the lab")
         if tuning.policy not in ("", *references.NAMES):
             raise TuningError(f"policy: {tuning.policy!r} is none of {', '.join(references.NAMES)}")
         self.policy = tuning.policy
--- a/headspar/node/core.py
+++ b/headspar/node/core.py
@@ -39,6 +39,7 @@
     TimerFired,
     Watch,
 )
+from headspar.node.standstill import Standstill
 from headspar.operations.ledger import Ledger
 from headspar.operations.lifecycle import Lifecycle
 
@@ -127,6 +128,8 @@
         self.due: list[tuple[int, int, int, str]] = []  # heap of (time, kind, number, request's key)
         self.timer: asyncio.TimerHandle | None = None
         self.timer_at = 0
+        self.standstill = Standstill(now_us())
+        self.lists_first = False  # a standstill has just ended
         self.recorder: Recorder | None = None
         self.recorded_at = 0
         self.log_from, self.log_count = 0, 0
@@ -169,12 +172,35 @@
         """Let the module hear now what has gathered."""
         self._turn()
 
+    def beat(self) -> None:
+        """The host calls it several times a second."""
+        now = now_us()
+        if self.standstill.noticed(now):
+            self._stood(now)
+        self.standstill.beats(now)
+
+    def _stood(self, now: int) -> None:
+        """The process has stood still: before it decides, it reads what has come meanwhile, lists first."""
+        self.log(f"stood still for {(now - self.standstill.since) / 1e6:.1f} s")
+        self.lists_first = self.turn_due = True
+        # A hop is a round of the loop, each of which reads its sockets.
+        self.loop.call_soon(self.loop.call_soon, self.loop.call_soon, self._first_turn)
+
+    def _first_turn(self) -> None:
+        self.lists_first = False
+        self.events.sort(key=lambda event: not isinstance(event, BackendList))
+        self._turn()
+
     def _turn(self) -> None:
+        now = now_us()
+        if self.standstill.noticed(now):
+            self._stood(now)
+        if self.lists_first:
+            return
         self.turn_due = False
         events, self.events = self.events, []
         if not events:
             return
-        now = now_us()
         try:
             actions = self.balancer.handle(now, events)
         except Exception as error:
@@ -195,17 +221,22 @@
 
     def arrived(self, r: Request) -> None:
         now = now_us()
+        if self.standstill.noticed(now):
+            self._stood(now)
         self.ledger.took()
         if len(self.requests) >= self.most_held:
             self.answer(r, 503)
             return
         self.serial += 1
         r.key = str(self.serial)
-        r.deadline = now + r.budget_us
+        r.deadline = self.standstill.came(now) + r.budget_us
         r.live = True
         r.limit = self.settings.max_attempts
         r.proof = r.cls not in self.backends.repeatable
         self.requests[r.key] = r
+        if r.deadline <= now:  # it lay there for longer than it had
+            self.answer(r, 504)
+            return
         self._at(r.deadline, DEADLINE, 0, r.key)
         self.post(
             RequestArrived(r.key, r.cls, r.deadline, r.hint_us, r.target_key, r.tenant, r.is_repeat)
@@ -289,7 +320,8 @@
                 self.ledger.answered(r.cls, 200)
                 if client is not None:
                     client.serve(body, content_type)
-        latency = (attempt.first_at or now) - attempt.sent_at
+        sent_at = attempt.sent_at
+        latency = attempt.first_at - sent_at if attempt.first_at else self.standstill.lasted(sent_at, now)
         self.post(AttemptEnded(r.key, attempt.number, attempt.backend, outcome, latency, final, report))
         # The end of the last attempt of a request that has its answer is the request's end too.  Kept beyond
         # it, requests would fill the memory, the bodies' budget and at last ``most_held``.
@@ -436,4 +468,9 @@
             self.backends.let_go(out_of_reach)
 
     def heard(self, peer: int, data: bytes) -> None:
+        now = now_us()
+        if self.standstill.noticed(now):
+            self._stood(now)
+        if self.standstill.stale(now):
+            return  # a word of nobody knows when
         self.post(PeerMessage(peer, data))
--- a/headspar/node/discovery.py
+++ b/headspar/node/discovery.py
@@ -170,6 +170,13 @@
             call.ask(path)
 
     def _silent(self) -> None:
+        # An answer that came while the loop was busy, or the process stood still, is read first (see core._timer).
+        self.timer = None
+        self.node.loop.call_soon(self.node.loop.call_soon, self._unanswered, self.call)
+
+    def _unanswered(self, call: Call | None) -> None:
+        if call is not self.call or self.timer is not None or call is not None and not call.waiting:
+            return
         if not self.chain.silent():
             self._failed("no answer")
             return
--- a/headspar/process.py
+++ b/headspar/process.py
@@ -115,10 +115,12 @@
         if beliefs is not None:
             node.recall(beliefs.experience)
             node.backends.plan.recall(beliefs.learned, now_us())
+        node.standstill.beats(now_us())
         node.settle()  # the module knows its servers before the node says yes
         if config.ops:
             self.ops = operators.Listener(self.calls, loop, bound(config.ops))
         await self._listen()
+        node.standstill.beats(now_us())  # what a start takes is none
         node.lifecycle.move(Cause.STARTED)
         if taken is not None:
             self.taker = Taker(taken, loop, adopt=self._adopt, share=self._held_by_first, log=node.log)
@@ -174,6 +176,7 @@
         self.loop.call_later(SWEEP_S, self._sweep)
 
     def _tend(self) -> None:
+        self.node.beat()
         self.node.backends.tend(now_us())
         self.loop.call_later(TEND_S, self._tend)
 
--- a/headspar/world/plan.py
+++ b/headspar/world/plan.py
@@ -229,6 +229,8 @@
         return rows + ([Step(back, "node_start", chosen)] if f.back_s else [])
     if f.kind == "node_drain":
         return [Step(at, f.kind, chosen), Step(end, "node_undrain", chosen)]
+    if f.kind == "node_stop":
+        return [Step(at, f.kind, chosen), Step(end, "node_cont", chosen)]
     if f.kind in ("node_hup", "node_upgrade"):
         return [Step(at, f.kind, chosen)]
     # Floods and hot keys are in the arrivals; these steps only mark them.
--- a/headspar/world/scenario.py
+++ b/headspar/world/scenario.py
@@ -140,7 +140,7 @@
 FaultKind = Literal[
     "die", "vanish", "slow", "drain", "turn_away", "reset", "spoil", "hang", "idle_silent", "flood", "hot_key",
     "grow", "discovery_gone", "discovery_silent", "discovery_break", "discovery_move",
-    "node_term", "node_hup", "node_kill", "node_upgrade", "node_drain",
+    "node_term", "node_hup", "node_kill", "node_upgrade", "node_drain", "node_stop",
 ]
 # kind -> the fields that it needs, beyond at_s
 NEEDS: dict[str, tuple[str, ...]] = {
@@ -151,6 +151,7 @@
     "grow": ("servers", "over_s"), "discovery_gone": ("for_s",), "discovery_silent": ("for_s",),
     "discovery_break": (), "discovery_move": (), "node_term": ("nodes",), "node_hup": ("nodes",),
     "node_kill": ("nodes",), "node_upgrade": ("nodes",), "node_drain": ("nodes", "for_s"),
+    "node_stop": ("nodes", "for_s"),
 }
 OPTIONAL: dict[str, tuple[str, ...]] = {
     "die": ("back_s", "site"), "vanish": ("site",), "drain": ("back_s", "linger_s", "site"),
--- a/tests/world/test_audit.py
+++ b/tests/world/test_audit.py
@@ -101,6 +101,34 @@
     assert (v.violations[0].call, v.violations[0].node) == (0, "n1")
 
 
+def stood(r: Recording, since: int, until: int) -> None:
+    r.marks += [Mark(since, "node_stop", "n1"), Mark(until, "node_cont", "n1")]
+
+
+def test_a_node_that_stands_still_is_excused_until_it_goes_on_and_no_longer() -> None:
+    r = recording()
+    r.asks[0] = msgspec.structs.replace(r.asks[0], end=End.NONE, ended_at=1300 * MS)
+    stood(r, 500 * MS, 4 * S)
+    v = audit(r)
+    assert v.clean and v.excused == 1
+    r.asks[0] = msgspec.structs.replace(r.asks[0], end=End.ANSWER, ended_at=4200 * MS)
+    assert audit(r).clean  # at once when it goes on
+    r.asks[0].ended_at = 4500 * MS
+    caught(r, "lost", "answered late")
+    r = recording()
+    r.asks[0] = msgspec.structs.replace(r.asks[0], end=End.NONE, ended_at=1300 * MS)
+    stood(r, 2 * S, 4 * S)  # it had had its time
+    caught(r, "lost", "no answer")
+
+
+def test_what_is_sent_on_after_its_time_is_caught_also_after_a_standstill() -> None:
+    r = recording()
+    r.asks[0] = msgspec.structs.replace(r.asks[0], end=End.NONE, ended_at=1300 * MS)
+    stood(r, 500 * MS, 4 * S)
+    r.sent[0].arrived_at, r.sent[0].ended_at = 4010 * MS, 4050 * MS
+    caught(r, "lost", "sent after its time")
+
+
 def test_an_answer_that_no_server_made_is_caught() -> None:
     r = recording()
     r.sent[0].fate = Fate.TURNED_AWAY
