Tell which of two answers is the newer, and try again where a trial was lost with the state

At fault: rollout/state.py, heard and _prove. Change: each status carries its keeper's beginning and a running number; a lost trial leads back to the stage.

--- a/benchmarks/rollout.py
+++ b/benchmarks/rollout.py
@@ -66,6 +66,9 @@
 
     def _count(self, result: Result, run: KeptRun, limits: bool) -> None:
         counts = result.verdict.counts
+        if not limits:  # no change in stages: what it is compared with
+            self.counts["at_once_rules_broken"] += sum(counts.values())
+            return
         self.counts["lost"] += counts["lost"]
         self.counts["rules_broken"] += sum(counts.values())
         self.counts["excused"] += result.verdict.excused
@@ -84,7 +87,7 @@
                 elif e["event"] == "keeper.signalled":
                     self.counts["strangers_signalled"] += e["pid"] not in ours
             self.counts["steps_twice"] += sum(count > 1 for count in taken.values())
-        self.counts["over_limit_moments"] += _over(run, 2, 1) if limits else 0
+        self.counts["over_limit_moments"] += _over(run, 2, 1)
         path = run.dir / "record.db"
         if path.exists():
             record = Record(path)
@@ -307,7 +310,7 @@
         big = list(pool.map(large, range(args.large)))
     sums.counts["over_limit_moments"] += over + sum(moments for _, moments, _ in big)
     named = ("steps_twice", "steps_skipped", "fenced_accepted", "strangers_signalled", "over_limit_moments",
-             "rules_broken", "lost", "excused", "invalid")
+             "rules_broken", "lost", "excused", "invalid", "at_once_rules_broken")
     print(json.dumps({
         "kills": killed, **{name: sums.counts[name] for name in named}, **figures, "orders": args.orders,
         "orders_ends": dict(ends), "orders_disagreeing": disagree,
--- a/headspar/keeper/host.py
+++ b/headspar/keeper/host.py
@@ -127,6 +127,7 @@
         self.silent_since = -1.0
         self.callers = 0
         self.disk_failed = False
+        self.began, self.serial = time.time(), 0
         self.stopping = asyncio.Event()
 
     # ------------------------------------------------------------ start and end
@@ -507,6 +508,7 @@
 
     def status(self) -> m.Status:
         core, now = self.core, time.monotonic()
+        self.serial += 1
         order, pid = core.lasting.order, 0
         if core.serving is not None and core.serving in self.running:
             pid = self.running[core.serving].handle.pid
@@ -517,7 +519,7 @@
             self.fence.step, core.lasting.outcome,
             self.store.names(), self.silent_since < 0 and core.serving is not None,
             min(1e9, now - self.figures_at), self.figures, pid, str(self.identity.get("program", "")),
-            str(self.identity.get("settings", "")), bool(self.fetching),
+            str(self.identity.get("settings", "")), bool(self.fetching), self.began, self.serial,
         )
 
     async def take(self, message: m.Message) -> m.Reply:
--- a/headspar/keeper/messages.py
+++ b/headspar/keeper/messages.py
@@ -106,6 +106,8 @@
     program: str
     settings: str
     fetching: bool = False
+    keeper: float = 0.0  # when this keeper began; with it ``serial`` orders what it has said
+    serial: int = 0
 
 
 class Reply(msgspec.Struct, frozen=True):
--- a/headspar/rollout/cli.py
+++ b/headspar/rollout/cli.py
@@ -247,9 +247,24 @@
 
 
 @app.command()
-def watch(file: FileArgument, seconds: Annotated[float, typer.Option("--every", min=0.1)] = 1.0) -> None:
-    """Show the change until it is over."""
+def watch(
+    file: FileArgument, seconds: Annotated[float, typer.Option("--every", min=0.1)] = 1.0,
+    as_json: JsonOption = False,
+) -> None:
+    """Show the change until it is over; with --json a line for each state that it comes to."""
     _, members, record = setup(file)
+    seen: tuple[State, int] | None = None
+    while as_json and (found := record.latest()) is not None:
+        change = found[0]
+        if (change.state, change.stage) != seen:
+            seen = change.state, change.stage
+            print_json(change)
+            sys.stdout.flush()
+        if change.state in OVER:
+            raise typer.Exit(END[change.state])
+        time.sleep(seconds)
+    if as_json:
+        raise stop("there is no change", 1)
     with Live(refresh_per_second=4) as live:
         while (found := record.latest()) is not None:
             statuses = asyncio.run(ask_all(members))
@@ -262,7 +277,7 @@
     raise stop("there is no change", 1)
 
 
-def _request(file: Path, what: str, yes: bool) -> None:
+def _request(file: Path, what: str, yes: bool, as_json: bool) -> None:
     _, _, record = setup(file)
     found = record.latest()
     if found is None or found[0].state in OVER:
@@ -272,26 +287,29 @@
     by = f"{os.environ.get('USER', 'uid')} {os.getuid()}"
     record.request(found[0].id, what, by, time.time())
     holder, _, until = record.holder()
-    print(f"asked {holder}" if until > time.time() else
-          "nobody leads it now: 'headspar rollout run' takes it up")
+    led = holder if until > time.time() else ""
+    if as_json:
+        print_json({"change": found[0].id, "asked": what, "led_by": led})
+    else:
+        print(f"asked {led}" if led else "nobody leads it now: 'headspar rollout run' takes it up")
 
 
 @app.command()
-def pause(file: FileArgument) -> None:
+def pause(file: FileArgument, as_json: JsonOption = False) -> None:
     """Let the change stand where it is."""
-    _request(file, "pause", True)
+    _request(file, "pause", True, as_json)
 
 
 @app.command()
-def resume(file: FileArgument) -> None:
+def resume(file: FileArgument, as_json: JsonOption = False) -> None:
     """Let it go on, and try again what had failed."""
-    _request(file, "resume", True)
+    _request(file, "resume", True, as_json)
 
 
 @app.command()
-def back(file: FileArgument, yes: YesOption = False) -> None:
+def back(file: FileArgument, yes: YesOption = False, as_json: JsonOption = False) -> None:
     """Take the change back, in steps within the limits."""
-    _request(file, "back", yes)
+    _request(file, "back", yes, as_json)
 
 
 @app.command()
--- a/headspar/rollout/state.py
+++ b/headspar/rollout/state.py
@@ -42,6 +42,7 @@
     BACK = "back"
     FAILED = "failed"  # and the change says to go back
     FAILED_PAUSE = "failed, pause"
+    AGAIN = "a trial is lost"  # with a keeper's state, and its node is back on the old generation
     ALL_BACK = "all back"
     STUCK = "stuck"
 
@@ -61,6 +62,8 @@
     (S.PROVING, C.BACK): S.BACK,
     (S.PROVING, C.FAILED): S.BACK,
     (S.PROVING, C.FAILED_PAUSE): S.PAUSED,
+    (S.PROVING, C.AGAIN): S.STAGE,
+    (S.CONFIRMING, C.AGAIN): S.STAGE,
     (S.CONFIRMING, C.CONFIRMED): S.DONE,
     (S.CONFIRMING, C.BACK): S.BACK,
     (S.CONFIRMING, C.STUCK): S.PERSON,
@@ -148,7 +151,9 @@
     # ------------------------------------------------------------ reading the fleet
 
     def heard(self, name: str, status: Status, clock: float) -> None:
-        seen = self.seen[name]
+        seen, last = self.seen[name], self.seen[name].status
+        if last is not None and last.keeper == status.keeper and status.serial < last.serial:
+            return  # two answers have overtaken one another: this one is the older
         seen.status, seen.at = status, clock
 
     def told(self, name: str, clock: float) -> None:
@@ -202,6 +207,11 @@
         return (outcome is not None and (outcome.change, outcome.generation) == (change.id, change.goal)
                 and outcome.result == "back")
 
+    def _lost_trial(self, status: Status) -> bool:
+        """Whether it is settled on the old generation without having given the trial up: its state was lost."""
+        settled = status.course == "settled" and status.present == self.change.before
+        return settled and not self.on_goal(status) and not self._gave_up(status)
+
     def _to_go_back(self, name: str, status: Status) -> bool:
         """Whether it has anything of the goal, is on its way from it, or may still be told to try it by a word that
         is on the way: one more step makes that word an old one."""
@@ -315,6 +325,8 @@
             status = self.fresh(name, clock)
             if status is None:
                 return Decision(waits=f"{name} is not heard of")
+            if self._lost_trial(status):
+                return Decision(cause=C.AGAIN, why=f"{name} has lost its trial")
             if not self._proved(status):
                 return Decision(waits=f"{name} is {status.state}")
         if clock - change.since < change.ways.settle_s:
@@ -334,6 +346,8 @@
                 away.append(name)
             elif self._confirmed(status):
                 continue
+            elif self._lost_trial(status):
+                return Decision(cause=C.AGAIN, why=f"{name} has lost its trial")
             elif status.trial != change.goal:
                 out.cause, out.why = C.STUCK, f"{name} is on {(status.running or status.state)[:12]}"
                 return out
--- a/tests/rollout/test_over_processes.py
+++ b/tests/rollout/test_over_processes.py
@@ -417,6 +417,43 @@
     kept_well(run)
 
 
+def test_machines_of_a_site_that_die_and_keepers_killed_while_going_back(tmp_path: Path) -> None:
+    """Keepers and nodes of one site are killed together in a stage; the fleet goes back, and three keepers are killed
+    while they do: no step twice, and the site's machines come back to what holds."""
+    async def script(run: KeptRun) -> None:
+        folder = run.generation("new", new_line)
+        led = await start(run, folder, "c1", "--stay")
+        await until(lambda: state(run) is State.PROVING and change(run).stage == 1)
+        site = run.nodes[change(run).stages[0][0]].config["settings"]["az"]
+        gone = sorted(n for n, node in run.nodes.items() if node.config["settings"]["az"] == site)
+        for name in gone:
+            run.keepers[name].kill()
+            await run.node(name).kill_node()
+        await until(lambda: state(run) in (State.PAUSED, State.BACK, State.TAKEN_BACK))
+        if state(run) is State.PAUSED:
+            await ended(await run.controller("back", str(run.operator_path), "--yes", "--json"))
+        await until(lambda: state(run) in (State.BACK, State.TAKEN_BACK))
+        others = sorted(n for n in run.nodes if n not in gone)
+        for name, point in zip(others, ("keeper.spawned", "keeper.ready", "keeper.term"), strict=False):
+            run.keepers[name].kill()
+            run.keepers[name].start(f"{point}=kill")
+        for _ in range(40):
+            for name in others:
+                process = run.keepers[name].process
+                if process is not None and process.poll() is not None:
+                    run.keepers[name].start()
+            await asyncio.sleep(0.1)
+        for name in gone:
+            run.keepers[name].start()
+        await until(lambda: state(run) is State.TAKEN_BACK)
+        await until(lambda: settled(run, "old"))
+        led.terminate()
+        await ended(led)
+
+    _, run = judged(script, tmp_path, 6, 14.0)
+    assert steps_twice(run) == [] and strangers_signalled(run) == []
+
+
 def test_a_fleet_of_which_a_third_does_not_answer_is_not_begun_upon(tmp_path: Path) -> None:
     async def script(run: KeptRun) -> None:
         for name in sorted(run.links)[:2]:
--- a/tests/rollout/test_parts.py
+++ b/tests/rollout/test_parts.py
@@ -304,6 +304,23 @@
     assert d.decide(100.0).cause is Cause.CONFIRMED
 
 
+def test_an_answer_that_another_has_overtaken_is_not_taken_for_the_newer() -> None:
+    d = director(State.STAGE, 0)
+    d.heard("a1", trial("a1", proved=False, keeper=1.0, serial=7), 100.1)
+    d.heard("a1", status("a1", keeper=1.0, serial=6), 100.2)  # said before it was told
+    assert d.decide(100.2).cause is Cause.SERVED
+    d.heard("a1", status("a1", keeper=2.0, serial=1), 100.3)  # another keeper
+    assert [c.say for c in d.decide(100.3).commands] == ["try"]
+
+
+@pytest.mark.parametrize("state", [State.PROVING, State.CONFIRMING])
+def test_a_node_whose_trial_was_lost_with_its_keepers_state_is_told_again(state: State) -> None:
+    d = director(state, 0, a1=status("a1"))
+    got = d.decide(100.0)
+    assert got.cause is Cause.AGAIN and d.move(got.cause, got.why, 100.0) is State.STAGE
+    assert [(c.node, c.say) for c in d.decide(100.1).commands] == [("a1", "try")]
+
+
 def test_going_back_takes_the_dead_first_and_ends_with_what_is_not_heard_of_named() -> None:
     hung = trial("a2", answers=False)
     d = director(State.BACK, 2, a1=trial("a1"), a2=hung, a3=trial("a3"), b1=trial("b1"))
