Plant faults where the start's lines stand now, and restart keepers to the test's end

Need: the whole suite had 963 of 965: a planted fault's place in process.py had moved with the standstill's beat, and a test left keepers dead that were killed after its loop had ended. Measured: both pass; the others passed in that suite.

--- a/tests/rollout/test_over_processes.py
+++ b/tests/rollout/test_over_processes.py
@@ -172,8 +172,8 @@
 DIES = planted("process.py", "        self._sweep()\n        self._tend()\n        gc.collect()",
                "        self.loop.call_later(0.4, os._exit, 1)\n        self._sweep()\n        self._tend()\n"
                "        gc.collect()")
-MUTE = planted("process.py", "        await self._listen()\n        node.lifecycle",
-               "        self.socket.listen(64)\n        node.lifecycle")
+MUTE = planted("process.py", "        await self._listen()\n        node.standstill",
+               "        self.socket.listen(64)\n        node.standstill")
 DEAF_TO_TERM = planted("process.py", "loop.add_signal_handler(signal.SIGTERM, self.stopping.set)",
                        "loop.add_signal_handler(signal.SIGTERM, lambda: None)")
 SPEAKS_OTHERWISE = planted("handover/messages.py", "VERSION = 1", "VERSION = 9")
@@ -437,16 +437,22 @@
         for name, point in zip(others, ("keeper.spawned", "keeper.ready", "keeper.term"), strict=False):
             run.keepers[name].kill()
             run.keepers[name].start(f"{point}=kill")
-        for _ in range(40):
-            for name in others:
-                process = run.keepers[name].process
-                if process is not None and process.poll() is not None:
-                    run.keepers[name].start()
-            await asyncio.sleep(0.1)
+
+        async def restart() -> None:
+            while True:
+                for name in others:
+                    process = run.keepers[name].process
+                    if process is not None and process.poll() is not None:
+                        run.keepers[name].start()
+                await asyncio.sleep(0.1)
+
+        restarting = asyncio.create_task(restart())
+        await asyncio.sleep(3.0)
         for name in gone:
             run.keepers[name].start()
         await until(lambda: state(run) is State.TAKEN_BACK)
         await until(lambda: settled(run, "old"))
+        restarting.cancel()
         led.terminate()
         await ended(led)
 
