--- a/benchmarks/rollout.py
+++ b/benchmarks/rollout.py
@@ -165,7 +165,8 @@
                 holder, _, until = record.holder()
                 pid = int(holder.rpartition("/")[2] or 0)
                 leader = next((c for c in run.controllers if c.pid == pid and c.returncode is None), None)
-                if leader is not None and until > time.time() and done < wanted:
+                # A change whose controllers all die within a second goes on for as long as they do.
+                if leader is not None and until > time.time() and done < wanted and now_us() < end:
                     leader.kill()
                     await leader.wait()
                     done += 1
