Play each hard case of a change in stages over twelve nodes, and take over lost records

Need: the issue asks for each hard case over twelve real nodes; several ran with three to ten, and a cut before and after a stage, a word 30 s late, a lost or older record, a fleet of one and keeper and node killed in a hand-over had no test over processes. A trial whose change's record was lost could not be confirmed nor replaced: keepers asked for the change's name. Change: tests/rollout/test_hard_cases.py, twelve nodes everywhere; confirm and hold name the generation, and a trial may be replaced, as the epoch says who leads.

--- /dev/null
+++ b/benchmarks/planted.py
@@ -0,0 +1,181 @@
+"""Faults planted in keepers and changes: does the test of each hard case over processes notice?
+
+    python -m benchmarks.planted --json          # some ten minutes
+    python -m benchmarks.planted --only fence
+
+Each fault is a change of text in a copy of the tree; the test that ought to fail is run there.  First every one of
+those tests is run in an unchanged copy, and must pass.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+import time
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+AT_ONCE = 3  # each test is some thirty processes
+SECONDS = 400
+OVER, HARD = "tests/rollout/test_over_processes.py", "tests/rollout/test_hard_cases.py"
+
+
+@dataclass(frozen=True)
+class Planted:
+    """A fault, and the test that is to fail with it."""
+
+    name: str
+    file: str
+    before: str
+    after: str
+    test: str
+
+
+FAULTS = [
+    Planted("fence: epochs that are over count", "keeper/fence.py", "if epoch < self.epoch:", "if False:",
+            f"{OVER}::test_a_controller_that_slept_through_its_lease_has_every_word_refused"),
+    Planted("fence: a late step counts as new", "keeper/fence.py",
+            "return Verdict.NEW if step > self.step else Verdict.OLD", "return Verdict.NEW",
+            f"{HARD}::test_a_word_that_comes_thirty_seconds_late_after_the_change_was_taken_back_is_refused"),
+    Planted("steps: a word without an answer gets a new number", "rollout/host.py",
+            "same = next((s for s in reversed(open_steps) if s.command == command), None)", "same = None\n"
+            "        open_steps = []",
+            f"{OVER}::test_a_controller_killed_at_each_failpoint_and_at_drawn_moments_is_followed_by_one_that_goes_on"),
+    Planted("limits: a site's own is not looked at", "rollout/limits.py", "if out >= limits.most_of_site:",
+            "if False:",
+            f"{OVER}::test_a_change_of_twelve_nodes_loses_nothing_and_keeps_the_limits"),
+    Planted("trial: its deaths are not counted", "keeper/core.py", "self.lasting.deaths += 1",
+            "self.lasting.deaths += 0",
+            f"{OVER}::test_generations_that_do_not_start_die_hang_or_accept_nothing_are_taken_back"),
+    Planted("trial: one that does not answer is proven", "keeper/host.py",
+            "            self.core.unwell(key, now)\n", "            pass\n",
+            f"{OVER}::test_generations_that_do_not_start_die_hang_or_accept_nothing_are_taken_back"),
+    Planted("end: no force after SIGTERM", "keeper/core.py", "if 0 <= p.termed <= now - t.end:", "if False:",
+            f"{OVER}::test_one_that_is_deaf_to_sigterm_is_ended_by_force_and_settings_go_by_signal"),
+    Planted("settings: what the node turned down counts as taken", "keeper/host.py",
+            "self._do(self.core.reloaded(running.key, taken, why, time.monotonic()))",
+            "self._do(self.core.reloaded(running.key, True, why, time.monotonic()))",
+            f"{OVER}::test_one_that_is_deaf_to_sigterm_is_ended_by_force_and_settings_go_by_signal"),
+    Planted("hand-over: that there is none is not noticed", "keeper/host.py", "status == NO_HANDOVER, now",
+            "False, now",
+            f"{OVER}::test_where_the_hand_over_can_not_be_had_nodes_are_drained_and_started"),
+    Planted("keeper: what runs is not looked for", "keeper/host.py",
+            "            with contextlib.suppress(OSError, ConfigError):\n                found = await",
+            "            break\n            with contextlib.suppress(OSError):\n                found = await",
+            f"{OVER}::test_state_torn_old_empty_or_gone_a_pid_that_is_anothers_and_keeper_and_node_killed_together"),
+    Planted("keeper: a pid is proof enough", "keeper/processes.py",
+            "if start_ticks(pid) != started or", "if",
+            f"{OVER}::test_state_torn_old_empty_or_gone_a_pid_that_is_anothers_and_keeper_and_node_killed_together"),
+    Planted("keeper: its node dies with it", "keeper/processes.py", "start_new_session=True,",
+            "start_new_session=True, preexec_fn=lambda: __import__('ctypes').CDLL(None).prctl(1, 9),",
+            f"{OVER}::test_keepers_killed_at_each_of_their_steps_find_their_nodes_again"),
+    Planted("disk: a command is taken that could not be kept", "keeper/host.py", "if not self._keep():", "if False:",
+            f"{OVER}::test_a_disk_that_is_full_stops_the_change_and_no_node"),
+    Planted("site: its silence is the change's fault", "rollout/state.py",
+            "if others and 2 * len(gone) >= len(others):", "if False:",
+            f"{OVER}::test_a_site_that_dies_in_a_stage_pauses_the_change_and_it_goes_on_when_told"),
+    Planted("start: nodes that do not answer are no reason", "rollout/cli.py", "if len(away) >= table.max_out:",
+            "if False:",
+            f"{OVER}::test_a_fleet_of_which_a_third_does_not_answer_is_not_begun_upon"),
+    Planted("silence: nobody goes back", "keeper/core.py", "self._silence(now)\n", "pass\n",
+            f"{OVER}::test_a_controller_that_never_comes_back_and_keepers_told_to_go_back"),
+    Planted("back: nodes that come back are left alone", "rollout/state.py",
+            "return self.on_goal(status) or on_way or name in self.doubtful", "return False",
+            f"{HARD}::test_a_third_of_the_keepers_cut_off_one_way_and_both_until_the_middle_of_going_back[in]"),
+    Planted("back: the goal's nodes are not brought back", "rollout/state.py", "if state is S.BACK:",
+            "if state is S.BACK and clock < 0:",
+            f"{OVER}::test_machines_of_a_site_that_die_and_keepers_killed_while_going_back"),
+    Planted("record: epochs do not rise above the keepers'", "rollout/record.py", "if epoch_heard > epoch:",
+            "if False:",
+            f"{HARD}::test_a_change_whose_record_is_lost_is_taken_over_by_the_next[record]"),
+    Planted("record: steps do not rise above the keepers'", "rollout/record.py", "if step_heard > self.last_step:",
+            "if False:",
+            f"{HARD}::test_a_change_whose_record_is_lost_is_taken_over_by_the_next[an older record]"),
+    Planted("one: the last node of a site is restarted", "rollout/state.py",
+            "ways.restart and not last", "ways.restart",
+            f"{HARD}::test_a_fleet_of_one_is_changed_by_a_hand_over_and_never_taken_out_for_it"),
+    Planted("keeper: a state that is lost loses its fence", "keeper/host.py",
+            "if (epoch, step) > (self.fence.epoch, self.fence.step):", "if False:",
+            f"{OVER}::test_state_torn_old_empty_or_gone_a_pid_that_is_anothers_and_keeper_and_node_killed_together"),
+    Planted("words: all are taken, whatever is lost", "rollout/host.py",
+            "            return  # it stays open: whether it was taken nobody knows\n",
+            "            self.record.outcome(self.epoch, number, 'ok', '', time.time())\n            return\n",
+            f"{OVER}::test_words_lost_late_and_twice_and_a_third_of_the_keepers_cut_off"),
+    Planted("keeper and node: what died is not started again", "keeper/core.py",
+            "if now >= self.start_at and self.wanted and not self._ending():", "if now >= self.start_at + 1e9:",
+            f"{HARD}::test_keeper_and_node_killed_together_in_the_middle_of_a_hand_over"),
+]
+
+
+def _copy(to: Path) -> None:
+    for name in ("headspar", "tests", "deploy", "docs", "pyproject.toml"):
+        source = ROOT / name
+        if source.is_dir():
+            shutil.copytree(source, to / name, ignore=shutil.ignore_patterns("__pycache__"))
+        else:
+            shutil.copyfile(source, to / name)
+
+
+def _passes(folder: Path, test: str) -> bool:
+    """Whether a test passes in a tree; one that runs out of time has not."""
+    env = {**os.environ, "PYTHONPATH": str(folder), "PYTHONDONTWRITEBYTECODE": "1"}
+    try:
+        done = subprocess.run(
+            [sys.executable, "-m", "pytest", "-q", "-x", "-p", "no:cacheprovider",
+             "--basetemp", str(folder / "tmp"), test],
+            cwd=folder, env=env, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL, timeout=SECONDS)
+    except subprocess.TimeoutExpired:
+        return False
+    return done.returncode == 0
+
+
+def caught(fault: Planted) -> bool:
+    """Whether its test fails with the fault planted."""
+    with tempfile.TemporaryDirectory(prefix="headspar-planted-") as name:
+        folder = Path(name)
+        _copy(folder)
+        path = folder / "headspar" / fault.file
+        text = path.read_text()
+        if text.count(fault.before) < 1:
+            raise SystemExit(f"{fault.name}: {fault.file} has no {fault.before!r}")
+        path.write_text(text.replace(fault.before, fault.after, 1))
+        return not _passes(folder, fault.test)
+
+
+def sound(test: str) -> bool:
+    """Whether a test passes in an unchanged copy."""
+    with tempfile.TemporaryDirectory(prefix="headspar-planted-") as name:
+        _copy(Path(name))
+        return _passes(Path(name), test)
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--json", action="store_true", help="end with one line of JSON (it always does)")
+    parser.add_argument("--only", default="", help="faults whose name holds this")
+    args = parser.parse_args()
+    since = time.monotonic()
+    faults = [fault for fault in FAULTS if args.only in fault.name]
+    tests = sorted({fault.test for fault in faults})
+    with ThreadPoolExecutor(AT_ONCE) as pool:
+        unsound = [test for test, good in zip(tests, pool.map(sound, tests), strict=True) if not good]
+        for test in unsound:
+            print(f"fails with nothing planted: {test}", file=sys.stderr)
+        found = dict(zip((fault.name for fault in faults), pool.map(caught, faults), strict=True))
+    for name, good in found.items():
+        print(f"{'caught' if good else 'MISSED'}  {name}", file=sys.stderr)
+    print(json.dumps({
+        "planted": len(found), "caught": sum(found.values()), "unsound_tests": len(unsound),
+        "missed": [name for name, good in found.items() if not good], "seconds": round(time.monotonic() - since),
+    }))
+
+
+if __name__ == "__main__":
+    main()
--- a/headspar/keeper/core.py
+++ b/headspar/keeper/core.py
@@ -303,10 +303,8 @@
     # ------------------------------------------------------------ commands
 
     def refusal(self, order: Order) -> str:
-        """Why a trial can't be taken now; empty if it can."""
-        now_on = self.lasting.order
-        if self.trial and now_on is not None and now_on.change not in ("", order.change):
-            return f"change {now_on.change!r} is on trial"
+        """Why a trial can't be taken now; empty if it can.  One that is under way may be replaced: whether two
+        changes may go on at once is the record's to say, and who leads the epoch's."""
         if self.course is K.BACK:
             return "going back"
         if not self.lasting.present:
@@ -319,7 +317,7 @@
         if self.trial == order.generation:
             self.lasting.order = order
             return self.advance(now)
-        if self.trial:  # of the same change: another generation in place of the one on trial
+        if self.trial:  # another generation in place of the one on trial
             self._course(C.BACK)
             self._course(C.THERE)
         self.lasting.order, self.lasting.deaths = order, 0
--- a/headspar/keeper/host.py
+++ b/headspar/keeper/host.py
@@ -571,10 +571,9 @@
             return core.refusal(message.order)
         if isinstance(message, m.Back):
             return "" if self.store.has(message.generation) else "this generation is not here"
-        order = core.lasting.order
-        if order is None or order.change not in ("", message.change):
-            return "no trial of this change"
-        if isinstance(message, m.Confirm) and (core.course is not Course.PROVING or core.running != order.generation):
+        if core.trial != message.generation:
+            return "this generation is not on trial"
+        if isinstance(message, m.Confirm) and (core.course is not Course.PROVING or core.running != core.trial):
             return "the trial does not serve"
         return ""
 
--- a/headspar/keeper/messages.py
+++ b/headspar/keeper/messages.py
@@ -36,26 +36,26 @@
     order: Order
 
 
-class Confirm(Word, frozen=True, tag="confirm"):
-    """The trial is the present generation from now on."""
+class Step(Word, frozen=True):
+    """A word with an effect: ``step`` is the record's running number, ``generation`` what it is about.  Which change
+    a trial belongs to is no condition: the epoch says who leads, and a change whose record was lost must be taken
+    over by the next one."""
 
     step: int
-    change: str
+    generation: str
 
 
-class Hold(Word, frozen=True, tag="hold"):
-    """The trial stays through any silence from now on."""
+class Confirm(Step, frozen=True, tag="confirm"):
+    """The trial is the present generation from now on."""
 
-    step: int
-    change: str
+
+class Hold(Step, frozen=True, tag="hold"):
+    """The trial stays through any silence from now on."""
 
 
-class Back(Word, frozen=True, tag="back"):
+class Back(Step, frozen=True, tag="back"):
     """Go to a generation, whatever runs."""
 
-    step: int
-    change: str
-    generation: str
     reason: str
 
 
--- a/headspar/rollout/state.py
+++ b/headspar/rollout/state.py
@@ -304,7 +304,7 @@
             if status.trial == change.goal or change.goal not in status.generations:
                 waits = waits or f"{name} is {status.state if status.trial else 'being given the generation'}"
                 continue
-            if status.course not in ("settled", "held"):
+            if status.course == "going back":
                 waits = waits or f"{name} is {status.state}"
                 continue
             # Where it has a restart to fall back on, it must be able to bear one.
@@ -359,7 +359,7 @@
                 confirms.append(name)
         late = clock - change.since > ways.ready_s
         if holds:
-            out.commands = [Command(name, "hold") for name in holds]
+            out.commands = [Command(name, "hold", change.goal) for name in holds]
             return out
         if away and not late:
             out.waits = f"{away[0]} is not heard of"
@@ -367,7 +367,7 @@
         if out.waits and late:
             out.cause, out.why = C.STUCK, out.waits
             return out
-        out.commands = [Command(name, "confirm") for name in confirms]
+        out.commands = [Command(name, "confirm", change.goal) for name in confirms]
         if not confirms and not out.waits:
             change.left = away
             out.cause, out.why = C.CONFIRMED, f"not heard of: {', '.join(away)}" if away else ""
@@ -422,7 +422,7 @@
                 continue
             if change.state is S.DONE and status.trial == goal:
                 if status.proved:  # it had lost its state, and was told to try once more by a word that came late
-                    out.commands.append(Command(name, "confirm"))
+                    out.commands.append(Command(name, "confirm", goal))
                 continue
             if wrong not in (status.trial, status.present, status.running) and name not in self.doubtful:
                 continue
--- /dev/null
+++ b/tests/rollout/test_hard_cases.py
@@ -0,0 +1,198 @@
+"""Hard cases of a change in stages over twelve real nodes: links cut, words late, records and state lost together."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from pathlib import Path
+
+import pytest
+
+from headspar.lab.kept import KeptRun
+from headspar.lab.links import CUT, DEAF, WELL, Fault
+from headspar.rollout.state import State
+from tests.rollout import runs
+from tests.rollout.runs import (
+    change,
+    ended,
+    events,
+    judged,
+    lead,
+    new_line,
+    planted,
+    record,
+    settled,
+    start,
+    starts,
+    state,
+    statuses,
+    steps_twice,
+    strangers_signalled,
+    until,
+)
+
+WIDE = runs.TABLE.replace("max_out = 2", "max_out = 6").replace("max_out_site = 1", "max_out_site = 3")
+
+
+async def stage_in(run: KeptRun, when: str) -> bool:
+    """Whether the change has come to where a link is to be cut."""
+    now = state(run)
+    if when == "before":
+        return now is not None
+    if when == "in":
+        return now is State.STAGE and change(run).stage >= 1 and bool(sum(starts(run, "new").values()) > 3)
+    return now is State.PROVING and change(run).stage + 1 == len(change(run).stages)
+
+
+@pytest.mark.parametrize("when", ["before", "in", "after"])
+def test_a_third_of_the_keepers_cut_off_one_way_and_both_until_the_middle_of_going_back(
+    tmp_path: Path, when: str,
+) -> None:
+    """Two do not hear the controller, two are not heard by it; the cut ends while the fleet goes back."""
+    async def script(run: KeptRun) -> None:
+        names = sorted(run.links)
+        folder = run.generation("new", new_line)
+        led = await start(run, folder, "c1", "--stay")
+        await until(lambda: stage_in(run, when))
+        for i, name in enumerate(names[:4]):
+            run.links[name].fault = CUT if i % 2 else DEAF
+        await asyncio.sleep(0.6)
+        await ended(await run.controller("back", str(run.operator_path), "--yes"))
+        await until(lambda: state(run) in (State.BACK, State.TAKEN_BACK))
+        await asyncio.sleep(0.3)
+        for name in names:
+            run.links[name].fault = WELL
+        await until(lambda: state(run) is State.TAKEN_BACK)
+        await until(lambda: settled(run, "old"))
+        led.terminate()
+        await ended(led)
+
+    _, run = judged(script, tmp_path, table=WIDE)
+    assert steps_twice(run) == [] and strangers_signalled(run) == []
+    most, of_site = runs.most_moving(run) if run.most_on_way() else (0, 0)
+    assert most <= 6 and of_site <= 3
+
+
+def test_a_word_that_comes_thirty_seconds_late_after_the_change_was_taken_back_is_refused(tmp_path: Path) -> None:
+    async def script(run: KeptRun) -> None:
+        folder = run.generation("new", new_line)
+        for link in run.links.values():  # each first word is held up, and what it says afterwards comes at once
+            link.fault = Fault(late=1.0, late_s=30.0, late_least=1.0, words='"say":"try"')
+        led = await start(run, folder, "c1", "--stay")
+        await until(lambda: any(link.counts.get("late") for link in run.links.values()))
+        held = [name for name, link in run.links.items() if link.counts.get("late")]
+        for link in run.links.values():
+            link.fault = WELL
+        await until(lambda: any(starts(run, "new").values()))  # told again, as the same step
+        await ended(await run.controller("back", str(run.operator_path), "--yes"))
+        await until(lambda: state(run) is State.TAKEN_BACK)
+        assert await settled(run, "old")
+        begun = starts(run, "new")
+        await until(lambda: _refused_as_old(run, held))
+        assert await settled(run, "old") and starts(run, "new") == begun
+        led.terminate()
+        await ended(led)
+
+    _, run = judged(script, tmp_path)
+    assert steps_twice(run) == []
+
+
+def _refused_as_old(run: KeptRun, names: list[str]) -> bool:
+    old = events(run, "keeper.command", say="try", verdict="old")
+    return any(old[name] for name in names)
+
+
+@pytest.mark.parametrize("lost", ["record", "record and state", "an older record"])
+def test_a_change_whose_record_is_lost_is_taken_over_by_the_next(tmp_path: Path, lost: str) -> None:
+    async def script(run: KeptRun) -> None:
+        folder = run.generation("new", new_line)
+        other = run.generation("other", planted("reasons.py", '200: "OK"', '200: "Okay"'))
+        path = run.dir / "record.db"
+        led = await start(run, folder, "c1")
+        await until(lambda: state(run) is State.STAGE)
+        older = record(run)
+        copy = Path(run.dir / "older.db")
+        older.db.execute("VACUUM INTO ?", (str(copy),))
+        older.close()
+        await until(lambda: _changed(run, 3))
+        led.kill()
+        await ended(led)
+        fences = {name: (s.epoch, s.step) for name, s in (await statuses(run)).items()}
+        for end in ("", "-wal", "-shm"):
+            Path(f"{path}{end}").unlink(missing_ok=True)
+        if lost == "an older record":
+            copy.rename(path)
+            assert await ended(await lead(run)) == 0  # it goes on from what the keepers say
+            assert await settled(run, "new")
+            assert record(run).holder()[1] > max(epoch for epoch, _ in fences.values())
+            return
+        if lost == "record and state":
+            for name, keeper in run.keepers.items():
+                if starts(run, "new")[name]:
+                    keeper.kill()
+                    (keeper.folder / "state").unlink()
+                    keeper.start()
+            await until(lambda: runs_something(run))
+        assert await ended(await start(run, other, "c2")) == 1  # not settled: it says so
+        assert await ended(await start(run, other, "c2", "--anyway")) == 0
+        assert await settled(run, "other")
+        found = await statuses(run)
+        assert all((s.epoch, s.step) > fences[name] for name, s in found.items())
+
+    _, run = judged(script, tmp_path, seconds=12.0)
+    assert steps_twice(run) == [] and strangers_signalled(run) == []
+
+
+async def _changed(run: KeptRun, least: int) -> bool:
+    found = await statuses(run)
+    return sum(s.running == run.generations["new"] for s in found.values()) >= least
+
+
+async def runs_something(run: KeptRun) -> bool:
+    found = await statuses(run)
+    return len(found) == len(run.keepers) and all(s.running for s in found.values())
+
+
+def test_a_fleet_of_one_is_changed_by_a_hand_over_and_never_taken_out_for_it(tmp_path: Path) -> None:
+    deaf = planted("handover/messages.py", "VERSION = 1", "VERSION = 9")
+
+    async def script(run: KeptRun) -> None:
+        folder = run.generation("new", new_line)
+        assert await ended(await start(run, folder, "c1")) == 0
+        assert await settled(run, "new")
+        folder = run.generation("strange", deaf)
+        assert await ended(await start(run, folder, "c2")) == 1
+        assert await settled(run, "new")
+
+    result, run = judged(script, tmp_path, 1, 14.0)
+    assert not any(events(run, "keeper.moved", after="draining").values())
+    assert result.verdict.served == result.verdict.taken
+
+
+def test_keeper_and_node_killed_together_in_the_middle_of_a_hand_over(tmp_path: Path) -> None:
+    """At the moment in which the second process says yes: both processes of the node, and its keeper."""
+    async def script(run: KeptRun) -> None:
+        for keeper in run.keepers.values():
+            keeper.kill()
+            keeper.start("keeper.ready=kill")
+        await until(lambda: runs_something(run))
+        folder = run.generation("new", new_line)
+        led = await start(run, folder, "c1")
+        name = await until(lambda: next(
+            (n for n, k in run.keepers.items() if k.process is not None and k.process.poll() is not None), None))
+        node = run.node(name)
+        with_node = await node.who()
+        assert with_node["generation"] in (run.generations["old"], run.generations["new"])
+        await node.kill_node()
+        for keeper in run.keepers.values():
+            if keeper.process is not None:
+                keeper.kill()
+            keeper.start()
+        end = await ended(led)
+        assert end in (0, 1)  # a death in its proving takes it back
+        await until(lambda: settled(run, "new" if end == 0 else "old"))
+
+    _, run = judged(script, tmp_path)
+    assert steps_twice(run) == [] and strangers_signalled(run) == []
+    signalled = [row for rows in events(run, "keeper.signalled").values() for row in rows]
+    assert {row["signal"] for row in signalled} <= {s.name for s in (signal.SIGTERM, signal.SIGKILL)}
