Say once what a keeper does with a word, and write its effect and its step down in one

Need: a keeper wrote the step of a word down, acted, and wrote the word's effect down afterwards: a keeper killed between the two answered the same step "done" and had done nothing of it. Excluded: the fence itself (its file and the state are one write). Change: keeper/words.py weighs a word and carries it out without I/O, effect and fence kept in one write or neither (Core.restore); host and rehearsal both use it. A controller's words are made in one place (rollout/state.py).

--- a/headspar/keeper/core.py
+++ b/headspar/keeper/core.py
@@ -311,12 +311,11 @@
             return "nothing runs that could be gone back to"
         return ""
 
-    def try_(self, order: Order, now: float) -> list[Action]:
-        """Take a trial that was not refused."""
-        self.heard_at = now
+    def try_(self, order: Order, now: float) -> None:
+        """Take a trial that was not refused; ``advance`` acts on it, as with all commands."""
         if self.trial == order.generation:
             self.lasting.order = order
-            return self.advance(now)
+            return
         if self.trial:  # another generation in place of the one on trial
             self._course(C.BACK)
             self._course(C.THERE)
@@ -324,11 +323,9 @@
         self.lasting.outcome = None
         self._new_goal(now)
         self._course(C.TRY)
-        return self.advance(now)
 
-    def confirm(self, now: float) -> bool:
+    def confirm(self) -> bool:
         """The trial is the present generation from now on; False where there is none that serves."""
-        self.heard_at = now
         order = self.lasting.order
         if self.course is not K.PROVING or order is None or self.running != order.generation:
             return False
@@ -339,20 +336,29 @@
         self.lasting.order = None
         return True
 
-    def back(self, generation: str, reason: str, now: float) -> list[Action]:
+    def back(self, generation: str, reason: str, now: float) -> None:
         """Go to a generation, whatever runs."""
-        self.heard_at = now
         if generation != self.lasting.present:
             self.lasting.before, self.lasting.present = self.lasting.present, generation
-        return self._back(C.BACK, reason, now)
+        if self.trial:
+            self._give_up(C.BACK, reason, now)
+        else:
+            self._course(C.BACK)
+            self._new_goal(now)
 
-    def hold(self, now: float) -> None:
+    def hold(self) -> None:
         """The trial stays through any silence from now on: the change is about to be confirmed."""
-        self.heard_at = now
         order = self.lasting.order
         if order is not None:
             self.lasting.order = msgspec.structs.replace(order, silence="hold")
 
+    def restore(self, lasting: Lasting, now: float) -> None:
+        """A command could not be written down: it was never taken.  A trial is to be proven anew."""
+        self.lasting = lasting
+        self._new_goal(now)
+        if self.course is K.PROVING and lasting.order is not None:
+            self.proving_until = now + lasting.order.proving_s
+
     def heard(self, clock: float, now: float) -> None:
         """A word of the controller."""
         self.heard_at = now
@@ -362,16 +368,6 @@
         self.vain, self.no_handover, self.proving_until = 0, False, -1.0
         self.start_at = min(self.start_at, now)
 
-    def _back(self, cause: Cause, reason: str, now: float) -> list[Action]:
-        order = self.lasting.order
-        trial = self.trial
-        if trial and order is not None:
-            self.lasting.outcome = Outcome(order.change, trial, "back", reason)
-        self._course(cause)
-        self.lasting.order = None
-        self._new_goal(now)
-        return self.advance(now)
-
     # ------------------------------------------------------------ what happens to processes
 
     def ready(self, key: int, now: float) -> list[Action]:
@@ -436,7 +432,7 @@
             self._give_up(C.FAILED_TWICE, f"died or failed to start {self.lasting.deaths} times", now)
 
     def _give_up(self, cause: Cause, reason: str, now: float) -> None:
-        """Leave the trial without ``advance``: the caller goes on with that."""
+        """Leave the trial."""
         order = self.lasting.order
         assert order is not None
         self.lasting.outcome = Outcome(order.change, order.generation, "back", reason)
--- a/headspar/keeper/host.py
+++ b/headspar/keeper/host.py
@@ -20,7 +20,7 @@
 from headspar.failpoints import failpoint
 from headspar.identity import NO_HANDOVER, boot_id, settings_digest
 from headspar.keeper import messages as m
-from headspar.keeper import processes
+from headspar.keeper import processes, words
 from headspar.keeper.calls import Address, call, healthy
 from headspar.keeper.core import (
     Action,
@@ -37,7 +37,7 @@
     Timing,
     Undrain,
 )
-from headspar.keeper.fence import Fence, Verdict
+from headspar.keeper.fence import Fence
 from headspar.keeper.generations import GenerationError, Store, digest
 from headspar.keeper.pauses import Pauses, PauseSettings
 from headspar.keeper.processes import Handle
@@ -526,74 +526,33 @@
         """The answer to one word."""
         if isinstance(message, m.Ask):
             return m.Reply(True, "", self.status())
-        step = getattr(message, "step", 0)
-        verdict = self.fence.judge(message.epoch, step)
-        say = str(type(message).__struct_config__.tag)
-        why = ""
-        if message.node != self.own.name:
-            why = f"meant for {message.node!r}"
-        elif verdict is Verdict.FENCED:
-            why = f"epoch {message.epoch} is over, {self.fence.epoch} has begun"
-        elif verdict is Verdict.OLD:
-            why = f"step {step} comes after step {self.fence.step}"
-        refused = ""
-        if not why and verdict is Verdict.NEW and not isinstance(message, m.Touch | m.Fetch):
-            refused = self._refusal(message)
-        if not isinstance(message, m.Touch) or why:
-            self.events.say("keeper.command", say=say, epoch=message.epoch, step=step, verdict=verdict.value,
-                            why=why or refused)
-        if why:
-            return m.Reply(False, why, self.status())
+        weighed = words.weigh(message, self.own.name, self.fence, self.core, self.store.has)
+        if not isinstance(message, m.Touch) or not weighed.ok:
+            self.events.say("keeper.command", say=str(type(message).__struct_config__.tag), epoch=message.epoch,
+                            step=weighed.step, verdict=weighed.verdict.value, why=weighed.why)
         now = time.monotonic()
-        if verdict is Verdict.AGAIN:
-            assert self.fence.answer is not None
-            self.core.heard(message.clock, now)
-            return m.Reply(bool(self.fence.answer["ok"]), str(self.fence.answer["why"]), self.status())
-        if step or message.epoch > self.fence.epoch:
+        if weighed.counts:
             before = self.fence
-            # A refusal counts as well: the same step, held up on the way, must not be taken later on.
-            self.fence = before.take(message.epoch, step, {"ok": not refused, "why": refused} if step else None)
             failpoint("keeper.taken")
-            if not self._keep():
-                self.fence = before
+            self.fence = words.take(message, weighed, before, self.core, now, self._keep_fence)
+            if self.fence is before:
                 return m.Reply(False, "the disk takes no state", self.status())
-        self.core.heard(message.clock, now)
-        if refused:
-            return m.Reply(False, refused, self.status())
-        return await self._carry_out(message, now)
-
-    def _refusal(self, message: m.Try | m.Confirm | m.Hold | m.Back) -> str:
-        """Why it can't be done now; empty if it can."""
-        core = self.core
-        if isinstance(message, m.Try):
-            if not self.store.has(message.order.generation):
-                return "this generation is not here"
-            return core.refusal(message.order)
-        if isinstance(message, m.Back):
-            return "" if self.store.has(message.generation) else "this generation is not here"
-        if core.trial != message.generation:
-            return "this generation is not on trial"
-        if isinstance(message, m.Confirm) and (core.course is not Course.PROVING or core.running != core.trial):
-            return "the trial does not serve"
-        return ""
-
-    async def _carry_out(self, message: m.Touch | m.Fetch | m.Try | m.Confirm | m.Hold | m.Back,
-                         now: float) -> m.Reply:
-        core = self.core
-        if isinstance(message, m.Fetch):
-            return await self._fetch(message)
-        if isinstance(message, m.Try):
-            self._do(core.try_(message.order, now))
-        elif isinstance(message, m.Back):
-            self._do(core.back(message.generation, message.reason[:200], now))
-        elif isinstance(message, m.Hold):
-            core.hold(now)
-        elif isinstance(message, m.Confirm):
-            core.confirm(now)
-        if not isinstance(message, m.Touch):
-            self._keep()
+            failpoint("keeper.kept")
+            self._do(self.core.advance(now))
             failpoint("keeper.done")
-        return m.Reply(True, "", self.status())
+        elif weighed.ok:
+            self.core.heard(message.clock, now)
+        if weighed.ok and isinstance(message, m.Fetch):
+            return await self._fetch(message)
+        return m.Reply(weighed.ok, weighed.why, self.status())
+
+    def _keep_fence(self, fence: Fence) -> bool:
+        """Write what lasts together with a fence; the one in force stays where that fails."""
+        before, self.fence = self.fence, fence
+        if self._keep():
+            return True
+        self.fence = before
+        return False
 
     async def _fetch(self, message: m.Fetch) -> m.Reply:
         if self.fetching:
--- a/headspar/keeper/messages.py
+++ b/headspar/keeper/messages.py
@@ -31,29 +31,32 @@
     path: str
 
 
-class Try(Word, frozen=True, tag="try"):
+class Step(Word, frozen=True):
+    """A word with an effect; ``step``: the record's running number."""
+
     step: int
+
+
+class Try(Step, frozen=True, tag="try"):
     order: Order
 
 
-class Step(Word, frozen=True):
-    """A word with an effect: ``step`` is the record's running number, ``generation`` what it is about.  Which change
-    a trial belongs to is no condition: the epoch says who leads, and a change whose record was lost must be taken
-    over by the next one."""
+class About(Step, frozen=True):
+    """One about a generation.  Which change a trial belongs to is no condition: the epoch says who leads, and a
+    change whose record was lost must be taken over by the next one."""
 
-    step: int
     generation: str
 
 
-class Confirm(Step, frozen=True, tag="confirm"):
+class Confirm(About, frozen=True, tag="confirm"):
     """The trial is the present generation from now on."""
 
 
-class Hold(Step, frozen=True, tag="hold"):
+class Hold(About, frozen=True, tag="hold"):
     """The trial stays through any silence from now on."""
 
 
-class Back(Step, frozen=True, tag="back"):
+class Back(About, frozen=True, tag="back"):
     """Go to a generation, whatever runs."""
 
     reason: str
--- a/headspar/rollout/host.py
+++ b/headspar/rollout/host.py
@@ -16,12 +16,10 @@
 from headspar.keeper import messages as m
 from headspar.rollout.fleet import Member
 from headspar.rollout.record import Fenced, Record, Step
-from headspar.rollout.state import OVER, TABLE, Cause, Change, Command, Decision, Director, State
+from headspar.rollout.state import HOLDING, OVER, TABLE, Cause, Change, Command, Decision, Director, State, word
 
 ANSWER_S = 2.0
 FETCH_S = 120.0
-SAYS = {"try": (State.STAGE, State.PROVING), "hold": (State.CONFIRMING,), "confirm": (State.CONFIRMING, State.DONE),
-        "back": (State.BACK, *OVER)}
 REQUESTS = {"pause": Cause.PAUSE, "resume": Cause.RESUME, "back": Cause.BACK}
 
 
@@ -261,17 +259,6 @@
 
     # ------------------------------------------------------------ words
 
-    def _message(self, command: Command, step: int) -> m.Message:
-        head: dict[str, Any] = {"node": command.node, "epoch": self.epoch, "clock": self.clock(), "step": step}
-        if command.say == "try":
-            assert command.order is not None
-            return m.Try(order=command.order, **head)
-        if command.say == "hold":
-            return m.Hold(generation=command.generation, **head)
-        if command.say == "confirm":
-            return m.Confirm(generation=command.generation, **head)
-        return m.Back(generation=command.generation, reason=command.reason, **head)
-
     async def _tell(self, command: Command, open_steps: list[Step]) -> None:
         """A new step to a node; what was open there before is overtaken, or is this very word."""
         same = next((s for s in reversed(open_steps) if s.command == command), None)
@@ -293,7 +280,7 @@
         """A node that was told something and never answered: the same step again, if it still holds."""
         assert self.director is not None
         for step in steps:
-            if self.director.change.state in SAYS[step.say] and step is steps[-1]:
+            if self.director.change.state in HOLDING[step.say] and step is steps[-1]:
                 await self._deliver(step.number, step.command)
             elif step is not steps[-1]:
                 self.record.outcome(self.epoch, step.number, "overtaken", "", time.time())
@@ -304,7 +291,7 @@
         change = director.change.id
         self.events.say("rollout.step", change=change, step=number, node=command.node, say=command.say)
         try:
-            reply = await send(self.members[command.node], self._message(command, number))
+            reply = await send(self.members[command.node], word(command, self.epoch, self.clock(), number))
         except OSError as error:
             self.events.say("rollout.answered", change=change, step=number, node=command.node, ok=False,
                             why=str(error))
--- a/headspar/rollout/rehearsal.py
+++ b/headspar/rollout/rehearsal.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from headspar.keeper import messages as m
+from headspar.keeper import words
 from headspar.keeper.core import Core, Course, Drain, Kill, Lasting, Phase, Reload, Start, Term, Timing
 from headspar.keeper.fence import Fence, Verdict
 from headspar.keeper.messages import Figures, Status
@@ -18,7 +20,7 @@
 from headspar.keeper.slots import deal
 from headspar.rollout.limits import Limits
 from headspar.rollout.stages import Candidate, plan
-from headspar.rollout.state import OVER, Cause, Change, Command, Director, State, Ways
+from headspar.rollout.state import HOLDING, OVER, Cause, Change, Command, Director, State, Ways, word
 
 OLD, NEW = "old", "new"
 TICK = 0.25
@@ -141,36 +143,21 @@
             order is not None and order.silence == "hold", core.lasting.deaths, core.restarts, self.fence.epoch,
             self.fence.step, core.lasting.outcome, [NEW, OLD], core.serving is not None, 0.0, Figures(), 1, "", "")
 
-    def take(self, command: Command | None, epoch: int, step: int, clock: float, change: str) -> tuple[bool, Status]:
-        """A word has come; ``None``: the controller is there."""
+    def take(self, said: m.Word) -> tuple[bool, Status]:
+        """A word has come."""
         now, core = self.world.now, self.core
-        verdict = self.fence.judge(epoch, step)
-        if verdict is Verdict.AGAIN:
-            assert self.fence.answer is not None
-            return bool(self.fence.answer["ok"]), self.status()
-        if verdict is not Verdict.NEW:
-            self.world.refused += 1
-            return False, self.status()
-        if step:
-            self.epochs.append((epoch, step))
-        core.heard(clock, now)
-        ok = True
-        if command is not None:
-            if command.say == "try":
-                assert command.order is not None
-                ok = not core.refusal(command.order)
-                if ok:
-                    self.ordered |= core.serving is not None  # one that is down takes nothing away
-                    self.do(core.try_(command.order, now))
-            elif command.say == "back":
-                self.ordered |= core.serving is not None
-                self.do(core.back(command.generation, command.reason, now))
-            elif command.say == "hold":
-                core.hold(now)
-            elif command.say == "confirm":
-                ok = core.confirm(now)
-        self.fence = self.fence.take(epoch, step, {"ok": ok} if step else None)
-        return ok, self.status()
+        weighed = words.weigh(said, self.name, self.fence, core, lambda generation: True)
+        self.world.refused += weighed.verdict in (Verdict.FENCED, Verdict.OLD)
+        if weighed.counts:
+            if weighed.step:
+                self.epochs.append((said.epoch, weighed.step))
+            if weighed.ok and isinstance(said, m.Try | m.Back):
+                self.ordered |= core.serving is not None  # one that is down takes nothing away
+            self.fence = words.take(said, weighed, self.fence, core, now, lambda fence: True)
+            self.do(core.advance(now))
+        elif weighed.ok:
+            core.heard(said.clock, now)
+        return weighed.ok, self.status()
 
 
 class Rehearsal:
@@ -210,18 +197,20 @@
         faulty = self.now < f.until
         if self.now < node.cut_until or faulty and rng.random() < f.drop:
             return
-        word = (name, command, self.epoch, step, self.now, False)
+        said: m.Word = m.Touch(node=name, epoch=self.epoch, clock=self.now)
+        if command is not None:
+            said = word(command, self.epoch, self.now, step)
         if faulty and command is not None and rng.random() < f.late:
-            self.later(rng.uniform(0.5, 1.0) * f.late_s, self._arrive, *word)
+            self.later(rng.uniform(0.5, 1.0) * f.late_s, self._arrive, name, said, step, False)
             return
         if faulty and command is not None and rng.random() < f.twice:
-            self.later(rng.uniform(0, 1.0) * f.late_s, self._arrive, *word)
+            self.later(rng.uniform(0, 1.0) * f.late_s, self._arrive, name, said, step, False)
         heard = not (faulty and rng.random() < f.lose)
-        self._arrive(name, command, self.epoch, step, self.now, heard)
+        self._arrive(name, said, step, heard)
 
-    def _arrive(self, name: str, command: Command | None, epoch: int, step: int, clock: float, heard: bool) -> None:
-        _, status = self.nodes[name].take(command, epoch, step, clock, self.change.id)
-        if heard and epoch == self.epoch:
+    def _arrive(self, name: str, said: m.Word, step: int, heard: bool) -> None:
+        _, status = self.nodes[name].take(said)
+        if heard and said.epoch == self.epoch:
             self.director.heard(name, status, self.now)
             if step and self.open.get(name, (0, None))[0] == step:
                 del self.open[name]
@@ -272,17 +261,11 @@
             self._word(command.node, command, number)
         asked = {command.node for command in decision.commands}
         for name, (number, command) in list(self.open.items()):
-            if name not in asked and command.say in self._holding():
+            if name not in asked and self.change.state in HOLDING[command.say]:
                 self._word(name, command, number)
         if decision.cause is not None:
             self._move(decision.cause, decision.why)
 
-    def _holding(self) -> tuple[str, ...]:
-        state = self.change.state
-        if state in (State.STAGE, State.PROVING):
-            return ("try",)
-        return ("hold", "confirm") if state is State.CONFIRMING else ("back",)
-
     def _move(self, cause: Cause, why: str) -> None:
         self.director.move(cause, why, self.now)
         self.stored = msgspec.json.encode(self.change)
--- a/headspar/rollout/state.py
+++ b/headspar/rollout/state.py
@@ -9,10 +9,11 @@
 
 from collections.abc import Mapping
 from enum import Enum
-from typing import Literal
+from typing import Any, Literal
 
 import msgspec
 
+from headspar.keeper import messages as m
 from headspar.keeper.core import Order
 from headspar.keeper.messages import Status
 from headspar.keeper.slots import Slot
@@ -75,6 +76,9 @@
     (S.PERSON, C.RESUME): S.CONFIRMING,  # of a change that could not be confirmed
 }
 OVER = (S.DONE, S.TAKEN_BACK)
+# In which states a word that was never answered may be said again.
+HOLDING = {"try": (S.STAGE, S.PROVING), "hold": (S.CONFIRMING,), "confirm": (S.CONFIRMING, S.DONE),
+           "back": (S.BACK, *OVER)}
 
 
 class Ways(msgspec.Struct, frozen=True):
@@ -128,6 +132,19 @@
     reason: str = ""
 
 
+def word(command: Command, epoch: int, clock: float, step: int) -> m.Word:
+    """A command with an effect as the keeper is told it."""
+    head: dict[str, Any] = {"node": command.node, "epoch": epoch, "clock": clock, "step": step}
+    if command.say == "try":
+        assert command.order is not None
+        return m.Try(order=command.order, **head)
+    if command.say == "hold":
+        return m.Hold(generation=command.generation, **head)
+    if command.say == "confirm":
+        return m.Confirm(generation=command.generation, **head)
+    return m.Back(generation=command.generation, reason=command.reason, **head)
+
+
 class Decision(msgspec.Struct):
     """What is to be done now: words to nodes, then at most one move; and what holds the change up."""
 
--- a/tests/keeper/test_core.py
+++ b/tests/keeper/test_core.py
@@ -80,7 +80,12 @@
     def order(self, generation: str = NEW, **more: object) -> None:
         order = Order("c", generation, 10.0, **more)  # type: ignore[arg-type]
         assert self.core.refusal(order) == ""
-        self.do(list(self.core.try_(order, self.now)))
+        self.core.try_(order, self.now)
+        self.do(list(self.core.advance(self.now)))
+
+    def back(self, generation: str = OLD) -> None:
+        self.core.back(generation, "told", self.now)
+        self.do(list(self.core.advance(self.now)))
 
     def last(self, kind: type) -> object:
         return next(a for a in reversed(self.log) if isinstance(a, kind))
@@ -101,7 +106,7 @@
     assert not m.core.proved(m.now)
     m.run(10.1)
     assert m.core.proved(m.now) and m.core.lasting.present == OLD
-    assert m.core.confirm(m.now)
+    assert m.core.confirm()
     assert (m.core.lasting.present, m.core.lasting.before, m.core.state) == (NEW, OLD, "serving")
     assert m.core.lasting.outcome is not None and m.core.lasting.outcome.result == "confirmed"
 
@@ -195,7 +200,7 @@
     m = Machine().serve()
     m.order()
     m.end(2, no_handover=True)
-    m.do(list(m.core.back(OLD, "told", m.now)))
+    m.back()
     assert m.last(Undrain) == Undrain(1) and m.core.state == "serving" and m.core.course is Course.SETTLED
 
 
@@ -204,7 +209,7 @@
     m.order()
     m.ready()
     m.old_ends()
-    m.do(list(m.core.back(OLD, "told", m.now)))
+    m.back()
     assert m.begun[-1] == Start(3, OLD, True)
     m.end(3, no_handover=True)  # the hanging one offers nothing
     m.run(Timing().drain + 0.2)  # and is not drained either
@@ -223,7 +228,7 @@
     assert m.last(Reload) == Reload(1, LIKE) and len(m.begun) == 1
     m.do(list(m.core.reloaded(1, True, "", m.now)))
     assert m.core.running == LIKE and m.core.state == "proving"
-    m.do(list(m.core.back(OLD, "told", m.now)))
+    m.back()
     m.do(list(m.core.reloaded(1, True, "", m.now)))
     assert m.core.running == OLD and m.core.state == "serving"
     m.order(LIKE)
@@ -260,7 +265,7 @@
     m = Machine().serve()
     m.order(silence="back", silence_s=5.0)
     m.ready()
-    m.core.hold(m.now)
+    m.core.hold()
     m.run(100)
     assert m.core.course is Course.PROVING
 
@@ -331,16 +336,17 @@
     def is_told_to_try(self, generation: str, change: str, restart: bool, silence: str) -> None:
         order = Order(change, generation, 2.0, restart, silence, 5.0)  # type: ignore[arg-type]
         if not self.m.core.refusal(order):
-            self.m.do(list(self.m.core.try_(order, self.m.now)))
+            self.m.core.try_(order, self.m.now)
+            self.m.do(list(self.m.core.advance(self.m.now)))
 
     @rule(generation=st.sampled_from([OLD, NEW, LIKE]))
     def is_told_back(self, generation: str) -> None:
-        self.m.do(list(self.m.core.back(generation, "told", self.m.now)))
+        self.m.back(generation)
 
     @rule()
     def is_told_to_confirm(self) -> None:
         trial = self.m.core.trial
-        if self.m.core.confirm(self.m.now):
+        if self.m.core.confirm():
             assert self.m.core.running == trial == self.m.core.lasting.present
 
     @rule(taken=st.booleans())
