Let links of nodes to discovery and servers fail too, and kill keepers at every step of all three ways

Need: the issue asks for relays between nodes, discovery and servers as well; keepers were killed at the steps of a change of program, not of settings nor of a drain; a node heard of again after the end had no test over processes.

--- a/headspar/lab/links.py
+++ b/headspar/lab/links.py
@@ -1,7 +1,9 @@
-"""Links between processes that fail: a relay for each keeper, between it and whoever leads.
+"""Links between processes that fail, as relays.
 
-A word is a line each way on a connection of its own, so a link fails by the word: it is dropped, held up, delivered
-twice, its answer is lost after the action, the connection is reset or held half-open.  All is drawn by a seed.
+``Link`` lies between a keeper and whoever leads.  A word is a line each way on a connection of its own, so a link
+fails by the word: it is dropped, held up, delivered twice, its answer is lost after the action, the connection is
+reset or held half-open.  All is drawn by a seed.  ``Stream`` lies between a node and its discovery or a server, and
+fails by the byte: what flows one way, or both, is held or held up, connections are reset, or none comes up.
 """
 
 from __future__ import annotations
@@ -110,3 +112,85 @@
             task.cancel()
         if self.server is not None:
             self.server.close()
+
+
+class Weather(msgspec.Struct, frozen=True):
+    """What a stream does.  ``up``: from the node, ``down``: to it; held bytes come once it is well again, unless the
+    connection has ended.  ``shut``: new connections are reset."""
+
+    hold_up: bool = False
+    hold_down: bool = False
+    delay_s: float = 0.0
+    shut: bool = False
+
+
+class Stream:
+    """A relay of bytes: ``address`` is where the other side seems to be."""
+
+    def __init__(self, target: Address, host: str) -> None:
+        self.target, self.host = target, host
+        self.address: Address = (host, 0)
+        self.weather = Weather()
+        self.changed = asyncio.Condition()
+        self.server: asyncio.Server | None = None
+        self.open: set[asyncio.StreamWriter] = set()
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.held = self.carried = self.reset_ones = 0
+
+    async def start(self) -> None:
+        self.server = await asyncio.start_server(self._connection, self.host, 0)
+        self.address = self.server.sockets[0].getsockname()[:2]
+
+    async def become(self, weather: Weather) -> None:
+        async with self.changed:
+            self.weather = weather
+            self.changed.notify_all()
+
+    def reset(self) -> None:
+        """End every connection at once, in the middle of whatever flows."""
+        for writer in list(self.open):
+            self.reset_ones += 1
+            writer.transport.abort()
+
+    async def _connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.weather.shut:
+            self.reset_ones += 1
+            writer.transport.abort()
+            return
+        try:
+            far_reader, far_writer = await asyncio.open_connection(*self.target)
+        except OSError:
+            writer.transport.abort()
+            return
+        self.open |= {writer, far_writer}
+        both = [asyncio.create_task(self._flow(reader, far_writer, "hold_up")),
+                asyncio.create_task(self._flow(far_reader, writer, "hold_down"))]
+        self.tasks.update(both)
+        await asyncio.gather(*both, return_exceptions=True)
+        self.tasks.difference_update(both)
+        self.open -= {writer, far_writer}
+        writer.close()
+        far_writer.close()
+
+    async def _flow(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, way: str) -> None:
+        try:
+            while data := await reader.read(65536):
+                if getattr(self.weather, way):
+                    self.held += 1
+                    async with self.changed:
+                        await self.changed.wait_for(lambda: not getattr(self.weather, way))
+                if self.weather.delay_s:
+                    await asyncio.sleep(self.weather.delay_s)
+                self.carried += 1
+                writer.write(data)
+                await writer.drain()
+            if writer.can_write_eof():
+                writer.write_eof()
+        except (OSError, RuntimeError):
+            writer.transport.abort()
+
+    def close(self) -> None:
+        for task in list(self.tasks):
+            task.cancel()
+        if self.server is not None:
+            self.server.close()
--- a/tests/rollout/runs.py
+++ b/tests/rollout/runs.py
@@ -64,11 +64,11 @@
 
 
 def judged(script: Script, dir: Path, nodes: int = 12, seconds: float = 8.0, table: str = TABLE,
-           keeper_table: str = KEEPER) -> tuple[Result, KeptRun]:
+           keeper_table: str = KEEPER, relayed: int = 0) -> tuple[Result, KeptRun]:
     """A run that the lab can vouch for; on a machine that is busy elsewhere it may take a second one."""
     for i in range(2):
         with a_turn():
-            result, run = run_kept(scenario(nodes, seconds), 1, dir / str(i), script, table, keeper_table)
+            result, run = run_kept(scenario(nodes, seconds), 1, dir / str(i), script, table, keeper_table, relayed)
         if result.verdict.valid:
             break
     v = result.verdict
--- a/tests/rollout/test_hard_cases.py
+++ b/tests/rollout/test_hard_cases.py
@@ -9,7 +9,7 @@
 import pytest
 
 from headspar.lab.kept import KeptRun
-from headspar.lab.links import CUT, DEAF, WELL, Fault
+from headspar.lab.links import CUT, DEAF, WELL, Fault, Weather
 from headspar.rollout.state import State
 from tests.rollout import runs
 from tests.rollout.runs import (
@@ -196,3 +196,56 @@
     assert steps_twice(run) == [] and strangers_signalled(run) == []
     signalled = [row for rows in events(run, "keeper.signalled").values() for row in rows]
     assert {row["signal"] for row in signalled} <= {s.name for s in (signal.SIGTERM, signal.SIGKILL)}
+
+
+def test_links_of_nodes_to_discovery_and_servers_fail_while_they_are_changed(tmp_path: Path) -> None:
+    """A third of the nodes: discovery held one way, then both, then reset; servers slow, held and reset in turn.
+    What a link does to a node is no fault of the change, and no request is lost by it."""
+    async def script(run: KeptRun) -> None:
+        folder = run.generation("new", new_line)
+        led = await start(run, folder, "c1")
+        await until(lambda: state(run) is State.STAGE)
+        asked = list(run.to_discovery.values())
+        servers = list(run.to_servers.values())
+        for turn, weather in enumerate((Weather(hold_down=True), Weather(hold_up=True, hold_down=True),
+                                        Weather(delay_s=0.1), Weather(shut=True))):
+            for stream in asked:
+                await stream.become(weather)
+            for i, stream in enumerate(servers):
+                if i % 4 == turn:  # one in four of the ways to servers at a time, so that each node has others
+                    await stream.become(Weather(delay_s=0.02) if turn % 2 else Weather(hold_down=True))
+                if i % 4 == (turn + 1) % 4:
+                    stream.reset()
+            await asyncio.sleep(0.8)
+            for stream in (*asked, *servers):
+                await stream.become(Weather())
+        for stream in asked:
+            stream.reset()
+        assert await ended(led) == 0
+        assert await settled(run, "new")
+        assert sum(s.held for s in servers) > 0 and sum(s.reset_ones for s in (*asked, *servers)) > 20
+        assert sum(s.carried for s in asked) > 8
+
+    _, run = judged(script, tmp_path, seconds=12.0, relayed=4)
+    assert steps_twice(run) == [] and strangers_signalled(run) == []
+    assert set(starts(run, "new").values()) == {1}
+
+
+def test_a_node_that_is_heard_of_again_after_the_end_is_brought_to_what_holds(tmp_path: Path) -> None:
+    async def script(run: KeptRun) -> None:
+        folder = run.generation("new", new_line)
+        led = await start(run, folder, "c1", "--stay")
+        await until(lambda: state(run) is State.PROVING and change(run).stage == 0)
+        name = change(run).stages[0][0]
+        run.links[name].fault = CUT
+        await until(lambda: state(run) is State.TAKEN_BACK)
+        assert change(run).left == [name]
+        found = await statuses(run)
+        assert found[name].running == run.generations["new"]
+        run.links[name].fault = WELL
+        await until(lambda: settled(run, "old"))
+        led.terminate()
+        await ended(led)
+
+    _, run = judged(script, tmp_path)
+    assert steps_twice(run) == [] and strangers_signalled(run) == []
--- a/tests/rollout/test_over_processes.py
+++ b/tests/rollout/test_over_processes.py
@@ -9,9 +9,11 @@
 import signal
 import subprocess
 import sys
+from collections.abc import Callable
 from pathlib import Path
 
 import msgspec
+import pytest
 
 from headspar.identity import start_ticks
 from headspar.keeper import messages as m
@@ -74,8 +76,8 @@
         assert "Idempotency" not in keeper.log.read_text()
 
 
-POINTS = ["rollout.before", "rollout.intent", "rollout.answered", "rollout.outcome", "rollout.move", "rollout.moved",
-          "record.begin", "record.commit"]
+POINTS = ["rollout.before", "rollout.intent", "rollout.sending", "rollout.answered", "rollout.outcome",
+          "rollout.move", "rollout.moved", "rollout.hearing", "record.begin", "record.commit"]
 
 
 def test_a_controller_killed_at_each_failpoint_and_at_drawn_moments_is_followed_by_one_that_goes_on(
@@ -89,7 +91,7 @@
         begun = await start(run, folder, "c1", failpoints="rollout.moved=kill")
         killed.append(await ended(begun))
         for i, point in enumerate(POINTS):
-            leader = await lead(run, failpoints=f"{point}=kill@{1 + (i > 5) * 4}")
+            leader = await lead(run, failpoints=f"{point}=kill@{1 + (i > 6) * 4}")
             killed.append(await ended(leader))
         for _ in range(4):
             leader = await lead(run)
@@ -262,15 +264,23 @@
 
 
 KEEPER_POINTS = ["keeper.spawned", "keeper.start", "keeper.ready", "keeper.acted", "keeper.term", "keeper.taken",
-                 "keeper.done", "keeper.state", "keeper.state_written", "keeper.answer"]
+                 "keeper.kept", "keeper.done", "keeper.state", "keeper.state_written", "keeper.answer",
+                 "keeper.fetched"]
+SETTINGS_POINTS = ["keeper.configured", "keeper.reload", "keeper.acted", "keeper.kept"] * 3
+DRAIN_POINTS = ["keeper.drain", "keeper.term", "keeper.start", "keeper.spawned"] * 3
 
 
-def test_keepers_killed_at_each_of_their_steps_find_their_nodes_again(tmp_path: Path) -> None:
+@pytest.mark.parametrize(("what", "points"), [
+    (new_line, KEEPER_POINTS), (settings_with(try_limit=4), SETTINGS_POINTS), (SPEAKS_OTHERWISE, DRAIN_POINTS),
+], ids=["program", "settings", "drained"])
+def test_keepers_killed_at_each_of_their_steps_find_their_nodes_again(
+    tmp_path: Path, what: Callable[[Path], None], points: list[str],
+) -> None:
     async def script(run: KeptRun) -> None:
         names = sorted(run.keepers)
         died = set()
         pids = {name: (await run.node(name).who())["pid"] for name in names}
-        for name, point in zip(names, KEEPER_POINTS, strict=False):
+        for name, point in zip(names, points, strict=True):
             run.keepers[name].kill()
             run.keepers[name].start(f"{point}=kill@{3 if 'state' in point or 'answer' in point else 1}")
 
@@ -286,7 +296,7 @@
         await until(lambda: _running(run, "old"))
         for name in names:  # a keeper that was killed never touched its node
             assert (await run.node(name).who())["pid"] == pids[name]
-        folder = run.generation("new", new_line)
+        folder = run.generation("new", what)
         end = await ended(await start(run, folder, "c1"))
         restarting.cancel()
         if end != 0:  # one that was killed too often counts as failed: the fleet is on the old one then
