--- a/headspar/lab/cash_server.py
+++ b/headspar/lab/cash_server.py
@@ -40,7 +40,7 @@
         self.loop = asyncio.get_running_loop()
         self.ledger = Ledger(scenario, plan)
         self.late: list[int] = []
-        self.accepted: list[int] = []  # when a connection was
+        self.accepted: list[tuple[int, str]] = []  # when a connection was, and by whom
         self.strangers = 0  # requests with an id that no caller made
 
 
@@ -247,7 +247,7 @@
             conn.reset()
             return
         self.connections.add(conn)
-        self.world.accepted.append(now_us())
+        self.world.accepted.append((now_us(), self.plan.id))
         self._advance()
         machine.connected(now_us(), self.plan.connection_cost_us)
         self._arm()
--- a/headspar/lab/explain.py
+++ b/headspar/lab/explain.py
@@ -11,10 +11,11 @@
 
 from headspar.lab.report import png
 from headspar.lab.run import TRUTH
-from headspar.lab.truth import Truth, account
+from headspar.lab.truth import account
 from headspar.recorder.file import read
 from headspar.recorder.line import LineError, Row
 from headspar.world.records import Recording, decode
+from headspar.world.truth import Truth
 
 MOST_SERVERS = 40  # rows of the picture; of more, those that changed most
 
--- a/headspar/lab/fleet.py
+++ b/headspar/lab/fleet.py
@@ -32,7 +32,7 @@
     lateness: list[Lateness]
     strangers: int
     forgotten_early: int
-    accepted: list[int]
+    accepted: list[tuple[int, str]]
 
 
 class Fleet:
--- a/headspar/lab/kept.py
+++ b/headspar/lab/kept.py
@@ -26,9 +26,9 @@
 from headspar.keeper.generations import digest
 from headspar.lab import kept_log
 from headspar.lab.children import now_us, package_env
-from headspar.lab.links import Link, Stream
+from headspar.lab.links import Link
 from headspar.lab.nodes import NodeProcess, free_address
-from headspar.lab.run import Result, Run, RunError
+from headspar.lab.run import Result, Run, RunError, play
 from headspar.world.records import Mark
 from headspar.world.rules import settings
 from headspar.world.scenario import Scenario
@@ -145,9 +145,7 @@
         self.rng = random.Random(f"{seed}/links")
         self.keepers: dict[str, Keeper] = {}
         self.links: dict[str, Link] = {}
-        self.relayed = relayed  # nodes whose way to discovery and servers leads through relays
-        self.to_discovery: dict[str, Stream] = {}
-        self.to_servers: dict[tuple[str, str], Stream] = {}  # by node and server
+        self.relayed = relayed
         self.controllers: list[asyncio.subprocess.Process] = []
         self.front_up: dict[str, bool] = {}
         self.generations: dict[str, str] = {}
@@ -211,25 +209,13 @@
         self.discovery.started_with(node.name, known)
         self.front_up[node.name] = True
 
-    async def _relay(self, name: str) -> None:
-        """Lay relays between a node and discovery, and each server; discovery tells their addresses."""
-        assert self.discovery is not None
-        stream = self.to_discovery[name] = Stream(self.discovery.desks[name].address, self.hosts.next())
-        await stream.start()
-        for server, addresses in self.discovery.addresses.items():
-            host, _, port = addresses[name].rpartition(":")
-            stream = self.to_servers[name, server] = Stream((host, int(port)), self.hosts.next())
-            await stream.start()
-            addresses[name] = f"{stream.address[0]}:{stream.address[1]}"
-
     def write_host(self, node: KeptNode) -> None:
         """The machine's own part, with discovery's list as it is now."""
         assert self.discovery is not None
         config = {k: v for k, v in node.config.items() if k not in ("settings", "name", "discovery")}
         config["known"] = self.discovery.known(node.name)
         own = node.config["settings"]
-        relay = self.to_discovery.get(node.name)
-        address = relay.address if relay is not None else self.discovery.desks[node.name].address
+        address = self._discovery_of(node.name)
         host = {
             "name": node.name, "site": own["az"], "listen": f"{node.listen[0]}:{node.listen[1]}",
             "discovery": f"{address[0]}:{address[1]}", "ops": [f"{a[0]}:{a[1]}" for a in node.both],
@@ -308,8 +294,6 @@
             self.played.cancel()
         for link in self.links.values():
             link.close()
-        for stream in (*self.to_discovery.values(), *self.to_servers.values()):
-            stream.close()
         await super()._close()
         if self.reaper is not None:
             assert self.reaper.stdin is not None
@@ -359,13 +343,5 @@
 def run_kept(scenario: Scenario, seed: int, dir: Path, script: Script, table: str = "",
              keeper_table: str = "", relayed: int = 0) -> tuple[Result, KeptRun]:
     """Play it on an event loop of its own.  ``RunError`` if it can't be carried out."""
-    import uvloop
-
-    dir.mkdir(parents=True, exist_ok=True)
-
-    async def whole() -> tuple[Result, KeptRun]:
-        run = KeptRun(scenario, seed, dir, script, table, keeper_table, relayed)
-        return await run.run(), run
-
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        return runner.run(whole())
+    run = KeptRun(scenario, seed, dir, script, table, keeper_table, relayed)
+    return play(run), run
--- a/headspar/lab/nodes.py
+++ b/headspar/lab/nodes.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -35,8 +36,10 @@
 class Peers:
     """Datagrams between nodes, each seen under an address of the lab's; ``to_all`` reaches every other."""
 
-    def __init__(self, listens: list[Address], host: str) -> None:
-        self.listens, self.host = listens, host
+    def __init__(self, listens: list[Address], host: str, rng: random.Random) -> None:
+        self.listens, self.host, self.rng = listens, host, rng
+        self.lost = 0.0  # share of all datagrams
+        self.deaf: set[int] = set()  # nodes that none reaches, and that reach the others
         self.number = {address: i for i, address in enumerate(listens)}
         self.relays: list[_Relay] = []
         self.addresses: list[Address] = []
@@ -61,7 +64,7 @@
             return
         targets = range(len(self.listens)) if to >= len(self.listens) else (to,)
         for i in targets:
-            if i != number:
+            if i != number and i not in self.deaf and self.rng.random() >= self.lost:
                 self.carried += 1
                 source.sendto(data, self.listens[i])
 
--- a/headspar/lab/run.py
+++ b/headspar/lab/run.py
@@ -17,8 +17,10 @@
 from headspar.lab.children import Child, Hosts, now_us
 from headspar.lab.discovery import Discovery
 from headspar.lab.fleet import FleetRecords
+from headspar.lab.links import Stream
 from headspar.lab.nodes import NodeProcess, Peers, free_address
 from headspar.world.audit import Verdict, audit
+from headspar.world.comebacks import unstruck
 from headspar.world.plan import Step, draw, node_names
 from headspar.world.records import Mark, Recording, encode, lateness
 from headspar.world.rules import rulebook, settings
@@ -76,12 +78,15 @@
     """The processes of one run."""
 
     def __init__(self, scenario: Scenario, seed: int, dir: Path, on_progress: Progress | None = None,
-                 command: list[str] | None = None, record: bool = False, operator: Path | None = None) -> None:
+                 command: list[str] | None = None, record: bool = False, operator: Path | None = None,
+                 struck: bool = True) -> None:
         """``command`` starts a node in place of the real one; tests put broken relays there.  ``record``: each node
-        leaves its flight record, and the lab what was true, in ``dir``.  ``operator``: the nodes' operator's file."""
+        leaves its flight record, and the lab what was true, in ``dir``.  ``operator``: the nodes' operator's file.
+        ``struck``: no if nothing is done to nodes, all else as drawn."""
         self.s, self.seed, self.dir, self.command, self.record = scenario, seed, dir, command, record
         self.operator = operator
         self.plan = draw(scenario, seed)
+        self.steps = (self.plan if struck else unstruck(self.plan)).steps
         self.on_progress = on_progress
         self.hosts = Hosts()
         self.nodes: dict[str, NodeProcess] = {}
@@ -98,6 +103,9 @@
         self.down: set[str] = set()
         self.began_at = 0
         self.figures: dict[str, dict[str, Any]] = {}
+        self.relayed = 0  # nodes whose way to discovery and servers leads through relays
+        self.to_discovery: dict[str, Stream] = {}
+        self.to_servers: dict[tuple[str, str], Stream] = {}  # by node and server
 
     # ------------------------------------------------------------ start
 
@@ -156,16 +164,40 @@
     async def _start_peers(self) -> None:
         nodes = list(self.nodes.values())
         listens = [free_address(self.hosts.next()) for _ in nodes]
-        self.peers = Peers(listens, self.hosts.next())
+        self.peers = Peers(listens, self.hosts.next(), random.Random(f"{self.seed}/datagrams"))
         await self.peers.start()
         texts = [f"{a[0]}:{a[1]}" for a in self.peers.addresses]
         for node, listen in zip(nodes, listens, strict=True):
             node.config |= {"peer_listen": f"{listen[0]}:{listen[1]}", "peers": texts[:-1], "peers_all": texts[-1]}
 
+    async def _relay(self, name: str) -> None:
+        """Lay relays between a node and discovery, and each server; discovery tells their addresses."""
+        assert self.discovery is not None
+        stream = self.to_discovery[name] = Stream(self.discovery.desks[name].address, self.hosts.next())
+        await stream.start()
+        for server, addresses in self.discovery.addresses.items():
+            host, _, port = addresses[name].rpartition(":")
+            stream = self.to_servers[name, server] = Stream((host, int(port)), self.hosts.next())
+            await stream.start()
+            addresses[name] = f"{stream.address[0]}:{stream.address[1]}"
+
+    def _discovery_of(self, name: str) -> tuple[str, int]:
+        """Where discovery seems to be to a node."""
+        assert self.discovery is not None
+        relay = self.to_discovery.get(name)
+        return relay.address if relay is not None else self.discovery.desks[name].address
+
+    def _known(self, name: str) -> dict[str, Any]:
+        """The list that a node starts with."""
+        assert self.discovery is not None
+        return self.discovery.known(name)
+
     async def _start_node(self, node: NodeProcess) -> None:
         assert self.discovery is not None
-        known = self.discovery.known(node.name)
-        await node.start(known, self.discovery.desks[node.name].address)
+        if len(self.to_discovery) < self.relayed and node.name not in self.to_discovery:
+            await self._relay(node.name)
+        known = self._known(node.name)
+        await node.start(known, self._discovery_of(node.name))
         self.discovery.started_with(node.name, known)
 
     # ------------------------------------------------------------ on the way
@@ -188,7 +220,7 @@
     def _may_fall(self, id: str) -> bool:
         """Whether a server that is down has not been taken down by a step."""
         now = now_us() - self.began_at
-        last = [x for x in self.plan.steps if id in x.targets and x.kind in ("die", "start") and x.at <= now + 1e6]
+        last = [x for x in self.steps if id in x.targets and x.kind in ("die", "start") and x.at <= now + 1e6]
         entry = next(p for p in self.plan.servers if p.id == id)
         if not last:
             return entry.starts_at < 0 and self.began_at > 0
@@ -199,7 +231,7 @@
         self.state["marks"].append((what, target))
 
     async def _steps(self) -> None:
-        for step in self.plan.steps:
+        for step in self.steps:
             await asyncio.sleep(max(0.0, (self.began_at + step.at - now_us()) / 1e6))
             self.late.append(max(0, now_us() - self.began_at - step.at))
             await self._step(step)
@@ -248,7 +280,7 @@
             if await node.ready(READY_S):
                 self._front(node, True)
         elif kind == "node_hup":
-            node.configure(self.discovery.desks[node.name].address)
+            node.configure(self._discovery_of(node.name))
             # Nobody sends it to a node that is not ready yet, whose program may not have heard of the signal.
             if await node.ready(READY_S):
                 node.signal(signal.SIGHUP, kind)
@@ -276,7 +308,7 @@
     async def _upgrade(self, node: NodeProcess) -> None:
         """A second process beside the first, which gets SIGTERM at its yes."""
         assert self.discovery is not None
-        first = await node.beside(self.discovery.known(node.name), self.discovery.desks[node.name].address)
+        first = await node.beside(self.discovery.known(node.name), self._discovery_of(node.name))
         if not await node.says_yes(READY_S):
             raise RunError(f"{node.name} does not get ready beside itself")
         node.end_first(first)
@@ -356,6 +388,8 @@
     async def _close(self) -> None:
         for task in list(self.tasks):
             task.cancel()
+        for stream in (*self.to_discovery.values(), *self.to_servers.values()):
+            stream.close()
         for node in self.nodes.values():
             node.kill()
         await asyncio.gather(*(child.close() for child in self.children), return_exceptions=True)
@@ -409,16 +443,18 @@
 
 
 def run_scenario(scenario: Scenario, seed: int, dir: Path, on_progress: Progress | None = None,
-                 command: list[str] | None = None, record: bool = False, operator: Path | None = None) -> Result:
+                 command: list[str] | None = None, record: bool = False, operator: Path | None = None,
+                 struck: bool = True) -> Result:
     """Run it on an event loop of its own.  ``RunError`` if it can't be carried out."""
-    import uvloop
+    return play(Run(scenario, seed, dir, on_progress, command, record, operator, struck))
 
-    dir.mkdir(parents=True, exist_ok=True)
 
-    async def whole() -> Result:
-        return await Run(scenario, seed, dir, on_progress, command, record, operator).run()
+def play(run: Run) -> Result:
+    """Carry a run out on an event loop of its own.  ``RunError`` if it can't be."""
+    import uvloop
 
+    run.dir.mkdir(parents=True, exist_ok=True)
     if sys.platform == "win32":  # pragma: no cover
         raise RunError("the lab needs a POSIX system")
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        return runner.run(whole())
+        return runner.run(run.run())
--- a/headspar/model/servers.py
+++ b/headspar/model/servers.py
@@ -51,7 +51,7 @@
         self.by_job: dict[Job, Connection] = {}
         self.timer: Handle | None = None
         self.timer_at = 0
-        self.accepted = 0
+        self.accepted: list[int] = []  # when connections were
 
     # ------------------------------------------------------------ its life
 
@@ -132,7 +132,7 @@
         if machine is None or len(self.connections) >= self.plan.connections:
             self.events.at(now + delay, conn.node.connected, conn, False)
             return
-        self.accepted += 1
+        self.accepted.append(now)
         conn.life, conn.idle_at = self.life, now
         self.connections.add(conn)
         self._advance()
--- a/headspar/model/simulate.py
+++ b/headspar/model/simulate.py
@@ -270,11 +270,13 @@
             rulebook(self.s, self.plan, self.began_at), asks, self.ledger.rows, self.discovery.told,
             self.ledger.starts, self.marks + self.ledger.marks,
             [Lateness("callers 0", 1, 0, 0, 0), Lateness("fleet", 1, 0, 0, 0)],
+            accepted=sorted((at, id) for id, server in self.servers.items() for at in server.accepted),
+            asked=self.discovery.asked,
         )
         if self.callers.under_way:
             recording.missing.append(f"{self.callers.under_way} tries that had not ended")
-        return Result(recording, audit(recording), measure(recording), self.events.called,
-                      sum(s.accepted for s in self.servers.values()), len(self.discovery.asked), self.plan.digest())
+        return Result(recording, audit(recording), measure(recording), self.events.called, len(recording.accepted),
+                      len(self.discovery.asked), self.plan.digest())
 
 
 def simulate(scenario: Scenario, seed: int, tuning: Tuning | None = None, costs: Costs | None = None,
--- /dev/null
+++ b/headspar/world/comebacks.py
@@ -0,0 +1,78 @@
+"""The fleets on which coming back is measured, as scenarios drawn by a seed; without I/O.
+
+What a fleet meets in an installation: traffic that is thin and uneven over the nodes, servers that hold few
+connections and pay for each new one, a release under way with cold servers, one server in eight that is slow, callers
+that ask again soon, and a discovery that can't answer all at once.  Lab and model play the same.
+"""
+
+from __future__ import annotations
+
+import random
+
+import msgspec
+
+from headspar.world.plan import Plan
+from headspar.world.scenario import Callers, Discovery, Fault, Load, Nodes, Rules, Scenario, Servers, check
+
+BLOW_S = 6.0  # of the run
+LENGTH_S = 26.0
+SERVERS_A_NODE = 0.75
+
+
+class Blow(msgspec.Struct, frozen=True):
+    """``share`` of ``nodes`` restarted (``kind``: "node_kill" or "node_term"; "node_stop": they stand still) within
+    ``spread_s``, back after ``back_s``.  ``calls_per_s``: what discovery works through; ``utilisation``: of the warm
+    servers.  ``again``: how often callers ask again, at once and whatever they are told if ``deaf``; ``release``:
+    servers are replaced meanwhile, and one in eight is slow."""
+
+    nodes: int = 24
+    share: float = 0.7
+    kind: str = "node_kill"
+    spread_s: float = 0.2
+    back_s: float = 1.0
+    calls_per_s: float = 8.0
+    utilisation: float = 0.5
+    length_s: float = LENGTH_S
+    again: int = 2
+    deaf: bool = False
+    release: bool = True
+
+
+def scenario(blow: Blow, seed: int) -> Scenario:
+    """The fleet under ``seed``; ``ScenarioError`` for a blow that can't be."""
+    rng = random.Random(f"{seed}/comeback")
+    servers = max(6, round(blow.nodes * SERVERS_A_NODE))
+    common = {
+        "cell_size": 4, "cold_share": round(rng.uniform(0.15, 0.3), 3), "ramp_s": round(rng.uniform(8, 14), 1),
+        "connections": max(24, blow.nodes), "connection_cost_us": round(rng.uniform(1500, 3000)), "idle_s": 8.0,
+    }
+    fast = rng.randint(1, servers - 1)
+    struck = min(blow.nodes, max(1, round(blow.share * blow.nodes)))
+    stops = blow.kind == "node_stop"
+    faults = [Fault(at_s=BLOW_S, kind=blow.kind, nodes=struck, spread_s=blow.spread_s,  # type: ignore[arg-type]
+                    **({"for_s": blow.back_s} if stops else {"back_s": blow.back_s}))]  # type: ignore[arg-type]
+    if blow.release:
+        faults += [
+            Fault(at_s=BLOW_S - 2.5, kind="drain", servers=0.25, linger_s=2.0, back_s=2.5),
+            Fault(at_s=BLOW_S - 1.0, kind="slow", servers=0.125, for_s=blow.length_s - BLOW_S, factor=4.0),
+        ]
+    return check(Scenario(
+        name=f"comeback-{blow.nodes}-{seed}", length_s=blow.length_s,
+        nodes=Nodes(count=blow.nodes, connect_timeout_ms=250),
+        servers=[
+            Servers(count=fast, machine="c2-rapido", speed=(1.3, 1.7), **common),  # type: ignore[arg-type]
+            Servers(count=servers - fast, machine="c2-normal", **common),  # type: ignore[arg-type]
+        ],
+        load=Load(utilisation=blow.utilisation, swing=0.1, work_scale=2.0, node_skew=0.5),
+        callers=Callers(retries=blow.again, backoff="none" if blow.deaf else "exp", honour=0.0 if blow.deaf else 0.6,
+                        notice_s=1.0),
+        discovery=Discovery(notice_s=(1.0, 2.0), add_s=(0.3, 0.8), calls_per_s=blow.calls_per_s),
+        rules=Rules(ask_every_s=8.0),
+        faults=sorted(faults, key=lambda f: f.at_s),
+    ))
+
+
+def unstruck(plan: Plan) -> Plan:
+    """The same draw with no node struck: what servers, discovery and callers do by themselves."""
+    servers = {p.id for p in plan.servers} | {"c", "d"}
+    return msgspec.structs.replace(plan, steps=[s for s in plan.steps if servers.issuperset(s.targets)])
--- a/headspar/world/plan.py
+++ b/headspar/world/plan.py
@@ -198,6 +198,11 @@
                 away.update(dict.fromkeys(chosen, back))
         if f.nodes is not None:
             chosen = sorted(rng.sample(nodes, f.nodes))
+        if f.spread_s and f.nodes is not None:
+            for i, node in enumerate(rng.sample(chosen, len(chosen))):
+                later = int(f.spread_s * SECOND * i / len(chosen))
+                steps += _of(f, at + later, end + later, [node])
+            continue
         steps += _of(f, at, end, chosen)
     steps += [Step(p.starts_at, "start", [p.id]) for p in servers if p.starts_at >= 0]
     steps.sort(key=lambda step: (step.at, step.kind, step.targets))
--- a/headspar/world/records.py
+++ b/headspar/world/records.py
@@ -130,6 +130,7 @@
     capacity: float  # microseconds of work a second when warm
     cold_share: float
     ramp_us: int
+    connection_cost_us: float = 0.0
 
 
 class CallRule(msgspec.Struct, array_like=True, gc=False):
@@ -172,7 +173,7 @@
     lateness: list[Lateness] = []
     strangers: int = 0  # requests that came to servers under an id that no caller had made
     missing: list[str] = []  # parts whose records did not come: no verdict
-    accepted: list[int] = []  # when servers took in a connection
+    accepted: list[tuple[int, str]] = []  # when a server took in a connection
     asked: list[tuple[int, str]] = []  # when a node called discovery
     figures: dict[str, dict[str, Any]] = {}  # what each node's operators were told at the end
 
--- a/headspar/world/rules.py
+++ b/headspar/world/rules.py
@@ -53,6 +53,7 @@
         classes=[ClassRule(c.name, c.effect, c.group, int(c.window_ms * 1000), int(c.aim_ms * 1000), c.worth,
                            c.late_worth) for c in s.classes],
         agents=[(a.name, a.share) for a in s.agents], quota_rps=plan.quota_rps,
-        servers={p.id: ServerRule(p.site, p.cell, p.capacity, p.cold_share, p.ramp_us) for p in plan.servers},
+        servers={p.id: ServerRule(p.site, p.cell, p.capacity, p.cold_share, p.ramp_us, p.connection_cost_us)
+                 for p in plan.servers},
         calls=[CallRule(c.cls, c.agent, c.work_us) for c in plan.calls],
     )
--- a/headspar/world/scenario.py
+++ b/headspar/world/scenario.py
@@ -157,7 +157,8 @@
     "die": ("back_s", "site"), "vanish": ("site",), "drain": ("back_s", "linger_s", "site"),
     "reset": ("share", "byte", "where"), "spoil": ("share", "how"), "hang": ("share",), "turn_away": ("share",),
     "hot_key": ("keys",),
-    "node_term": ("back_s",), "node_kill": ("back_s",), "flood": ("classes",), "grow": ("traffic",),
+    "node_term": ("back_s", "spread_s"), "node_kill": ("back_s", "spread_s"), "node_stop": ("spread_s",),
+    "flood": ("classes",), "grow": ("traffic",),
 }
 
 
@@ -171,6 +172,7 @@
     over_s: float | None = None
     back_s: float | None = None
     linger_s: float | None = None
+    spread_s: float | None = None  # over which the nodes meet it, one after the other
     servers: float | None = None
     site: str | None = None
     nodes: int | None = None
@@ -247,7 +249,7 @@
     for name in f.__struct_fields__:
         if getattr(f, name) is not None:
             _want(name in known, f"{at}.{name}", f"means nothing for a fault of kind {f.kind}")
-    for name in ("for_s", "over_s", "factor", "linger_s", "back_s"):
+    for name in ("for_s", "over_s", "factor", "linger_s", "back_s", "spread_s"):
         value = getattr(f, name)
         if value is not None:
             _above(value, f"{at}.{name}")
--- a/headspar/world/service.py
+++ b/headspar/world/service.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from collections.abc import Iterator
 
 import msgspec
 
@@ -59,6 +60,17 @@
     amplification: float  # tries over first tries
 
 
+class Worth(msgspec.Struct, frozen=True):
+    """What one call's answer was worth.  ``at``: when its first try was due."""
+
+    call: int
+    at: int
+    asked: float
+    got: float
+    in_time: bool
+    beyond: bool  # its agent's share
+
+
 def _over_share(recording: Recording, firsts: list[Ask]) -> set[int]:
     """Calls beyond their agent's share: a bucket of two seconds for each."""
     rules = recording.rules
@@ -78,8 +90,8 @@
     return over
 
 
-def measure(recording: Recording) -> Service:
-    """The service of a run, from its records."""
+def worths(recording: Recording) -> Iterator[Worth]:
+    """Each call's worth, in the order of their first tries."""
     rules = recording.rules
     firsts = sorted((a for a in recording.asks if a.attempt == 0), key=lambda a: a.planned_at)
     served: dict[int, int] = {}
@@ -87,11 +99,6 @@
         if a.end is End.ANSWER and a.status == 200 and a.genuine:
             served[a.call] = min(served.get(a.call, a.ended_at), a.ended_at)
     over = _over_share(recording, firsts)
-    count = -(-rules.length_us // SECOND)
-    seconds = [Second() for _ in range(count)]
-    whole = Share()
-    classes: defaultdict[str, Share] = defaultdict(Share)
-    agents: defaultdict[str, Share] = defaultdict(Share)
     for a in firsts:
         call = rules.calls[a.call]
         spec = rules.classes[call.cls]
@@ -103,16 +110,31 @@
         sent = a.sent_at or a.planned_at
         in_time = at is not None and at - sent <= spec.aim_us
         got = 0.0 if at is None else worth if in_time else worth * spec.late_worth
-        second = seconds[min(count - 1, max(0, (a.planned_at - rules.began_at) // SECOND))]
+        yield Worth(a.call, a.planned_at, worth, got, in_time, beyond)
+
+
+def measure(recording: Recording) -> Service:
+    """The service of a run, from its records."""
+    rules = recording.rules
+    count = -(-rules.length_us // SECOND)
+    seconds = [Second() for _ in range(count)]
+    whole = Share()
+    classes: defaultdict[str, Share] = defaultdict(Share)
+    agents: defaultdict[str, Share] = defaultdict(Share)
+    first_tries = 0
+    for w in worths(recording):
+        call = rules.calls[w.call]
+        first_tries += 1
+        second = seconds[min(count - 1, max(0, (w.at - rules.began_at) // SECOND))]
         second.asked += 1
-        rows = [whole, classes[spec.name], second.worth]
-        if not beyond:
+        rows = [whole, classes[rules.classes[call.cls].name], second.worth]
+        if not w.beyond:
             rows.append(agents[rules.agents[call.agent][0]])
         for share in rows:
-            share.asked += worth
-            share.answered += got
+            share.asked += w.asked
+            share.answered += w.got
             share.calls += 1
-            share.in_time += in_time
+            share.in_time += w.in_time
     for a in recording.asks:
         second = seconds[min(count - 1, max(0, (a.ended_at - rules.began_at) // SECOND))]
         if a.end is End.ANSWER and a.status == 200:
@@ -135,6 +157,6 @@
     return Service(
         goal=sum(w * x for w, x in zip(GOAL, parts, strict=True)), whole=whole.ratio, worst_10_s=worst,
         worst_class=worst_class, worst_agent=worst_agent, by_class=by_class, by_agent=by_agent,
-        seconds=seconds, first_tries=len(firsts), tries=len(recording.asks),
-        amplification=len(recording.asks) / len(firsts) if firsts else 0.0,
+        seconds=seconds, first_tries=first_tries, tries=len(recording.asks),
+        amplification=len(recording.asks) / first_tries if first_tries else 0.0,
     )
--- a/tests/lab/test_explain.py
+++ b/tests/lab/test_explain.py
@@ -8,10 +8,11 @@
 
 from headspar.lab.explain import ExplainError, chosen, load, picture
 from headspar.lab.run import TRUTH
-from headspar.lab.truth import Truth, account, recovery_s
+from headspar.lab.truth import account, recovery_s
 from headspar.recorder.file import Recorder, read
 from headspar.recorder.line import Row, ServerRow
 from headspar.world.records import Mark, Start, encode
+from headspar.world.truth import Truth
 from tests.lab.test_nodes_under_faults import headspar
 from tests.recorder.test_record import belief
 from tests.world.test_audit import MS, S, recording
--- a/tests/lab/test_nodes_under_faults.py
+++ b/tests/lab/test_nodes_under_faults.py
@@ -58,7 +58,7 @@
     back = min(m.at for m in r.marks if m.what == "node_start" and m.at > r.rules.began_at)
     first = sorted(min(at for at, node in r.asked if node == name and at > back) for name in {n for _, n in r.asked})
     sent = sum(back < s.arrived_at < back + 2_000_000 for s in r.sent)
-    made = sum(back < at < back + 2_000_000 for at in r.accepted)
+    made = sum(back < at < back + 2_000_000 for at, _ in r.accepted)
     return made <= sent + 8 and first[-1] - first[0] > 1_000_000
 
 
