Show coming back to people: headspar lab comeback and headspar model comeback

Need: the measures stood without a way to ask for them. Change: two commands with the same options (share of nodes, spread, discovery's rate, load, callers that ask again, seeds), tables with an interval of the median by ranks, what held it up second by second, a picture, one line of JSON; each seed is played without and with the blow.

--- a/headspar/cli.py
+++ b/headspar/cli.py
@@ -16,6 +16,7 @@
 from rich.live import Live
 from rich.progress import BarColumn, Progress, TextColumn, TimeRemainingColumn
 
+from headspar import comeback_report as cr
 from headspar import operator_file
 from headspar.commands import scenario as scenario_of
 from headspar.commands import scenario_names, stop, writable
@@ -25,6 +26,7 @@
 from headspar.lab.run import Result, RunError, run_scenario
 from headspar.model import cli as model_cli
 from headspar.rollout import cli as rollout_cli
+from headspar.world.comeback import comeback
 from headspar.world.scenario import Scenario
 
 app = typer.Typer(add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False,
@@ -127,6 +129,36 @@
     _end(result, json_to, report_to, picture_to)
 
 
+@lab.command("comeback")
+def comeback_in_lab(
+    nodes: cr.NodesOption = 24, share: cr.ShareOption = 0.7, kind: cr.KindOption = "kill",
+    spread_s: cr.SpreadOption = 0.2, back_s: cr.BackOption = 1.0, calls: cr.CallsOption = 8.0,
+    load: cr.LoadOption = 0.5, again: cr.AgainOption = 2, deaf: cr.DeafOption = False,
+    seeds: Annotated[int, typer.Option(min=1, max=100)] = 1, first: cr.FirstOption = 1,
+    json_to: cr.JsonOption = None, picture_to: cr.PictureOption = None, keep: KeepOption = None,
+) -> None:
+    """Strike most nodes of a fleet of processes; time to full service, what held it up, stampedes, stale decisions.
+    Each seed is played twice: with nothing done to nodes, and with it."""
+    writable(keep)
+
+    def play(s: Scenario, seed: int) -> cr.Drawn:
+        results = []
+        for struck in (False, True):
+            with tempfile.TemporaryDirectory(prefix="headspar-lab-") as dir:
+                to = keep / f"{seed}-{'struck' if struck else 'not'}" if keep is not None else Path(dir)
+                try:
+                    results.append(run_scenario(s, seed, to, struck=struck))
+                except RunError as error:
+                    raise stop(str(error), 4) from None
+        without, result = results
+        c = comeback(result.recording, without.recording, s.discovery.calls_per_s)
+        return cr.Drawn(seed, c, result.verdict, result.service.whole, without.service.whole)
+
+    of = cr.blow(kind, nodes=nodes, share=share, spread_s=spread_s, back_s=back_s, calls_per_s=calls,
+                 utilisation=load, again=again, deaf=deaf)
+    cr.whole(of, range(first, first + seeds), play, json_to, picture_to)
+
+
 @lab.command("check")
 def check_scenario(scenario: ScenarioArgument) -> None:
     """Read a scenario file and say what is wrong with it, if anything is."""
--- a/headspar/model/cli.py
+++ b/headspar/model/cli.py
@@ -13,18 +13,22 @@
 from rich.progress import BarColumn, Progress, TaskID, TextColumn, TimeRemainingColumn
 from rich.table import Table
 
+from headspar import comeback_report as cr
 from headspar.commands import scenario, stop, writable
 from headspar.model.costs import Costs
 from headspar.model.figures import LESS_IS_BETTER, of_run
 from headspar.model.results import CACHE, Store
 from headspar.model.simulate import Tuning, TuningError, simulate
 from headspar.model.versions import VersionError, resolve
+from headspar.world.comeback import comeback
+from headspar.world.comebacks import unstruck
+from headspar.world.plan import draw
+from headspar.world.scenario import Scenario
 
 if TYPE_CHECKING:
     from headspar.model.compare import Comparison
     from headspar.model.figures import Outcome
     from headspar.model.gate import Draw, Runs
-    from headspar.world.scenario import Scenario
 
 LOOKS = "8,12,16,20,24"
 app = typer.Typer(no_args_is_help=True, help=__doc__)
@@ -85,6 +89,33 @@
         raise typer.Exit(1)
 
 
+@app.command("comeback")
+def comeback_in_model(
+    nodes: cr.NodesOption = 24, share: cr.ShareOption = 0.7, kind: cr.KindOption = "kill",
+    spread_s: cr.SpreadOption = 0.2, back_s: cr.BackOption = 1.0, calls: cr.CallsOption = 8.0,
+    load: cr.LoadOption = 0.5, again: cr.AgainOption = 2, deaf: cr.DeafOption = False,
+    seeds: Annotated[int, typer.Option(min=1, max=1000)] = 10, first: cr.FirstOption = 1, costs_: CostsOption = None,
+    json_to: cr.JsonOption = None, picture_to: cr.PictureOption = None,
+) -> None:
+    """Strike most nodes of a fleet in simulated time; time to full service, what held it up, stampedes, stale
+    decisions.  Each seed is played twice: with nothing done to nodes, and with it."""
+    cost = costs(costs_)
+
+    def play(s: Scenario, seed: int) -> cr.Drawn:
+        plan = draw(s, seed)
+        try:
+            without = simulate(s, seed, costs=cost, plan=unstruck(plan))
+            result = simulate(s, seed, costs=cost, plan=plan)
+        except TuningError as error:
+            raise stop(str(error), 2) from None
+        c = comeback(result.recording, without.recording, s.discovery.calls_per_s)
+        return cr.Drawn(seed, c, result.verdict, result.service.whole, without.service.whole)
+
+    of = cr.blow(kind, nodes=nodes, share=share, spread_s=spread_s, back_s=back_s, calls_per_s=calls,
+                 utilisation=load, again=again, deaf=deaf)
+    cr.whole(of, range(first, first + seeds), play, json_to, picture_to)
+
+
 def table(c: Comparison) -> Table:
     """A comparison's figures; the sentence stands above."""
     out = Table(title=c.sentence, title_justify="left")
--- a/headspar/world/comebacks.py
+++ b/headspar/world/comebacks.py
@@ -22,8 +22,8 @@
 class Blow(msgspec.Struct, frozen=True):
     """``share`` of ``nodes`` restarted (``kind``: "node_kill" or "node_term"; "node_stop": they stand still) within
     ``spread_s``, back after ``back_s``.  ``calls_per_s``: what discovery works through; ``utilisation``: of the warm
-    servers.  ``again``: how often callers ask again, at once and whatever they are told if ``deaf``; ``release``:
-    servers are replaced meanwhile, and one in eight is slow."""
+    servers.  ``at_s``: when, of the run.  ``again``: how often callers ask again, at once and whatever they are told
+    if ``deaf``; ``release``: servers are replaced meanwhile, and one in eight is slow."""
 
     nodes: int = 24
     share: float = 0.7
@@ -32,6 +32,7 @@
     back_s: float = 1.0
     calls_per_s: float = 8.0
     utilisation: float = 0.5
+    at_s: float = BLOW_S
     length_s: float = LENGTH_S
     again: int = 2
     deaf: bool = False
@@ -49,12 +50,12 @@
     fast = rng.randint(1, servers - 1)
     struck = min(blow.nodes, max(1, round(blow.share * blow.nodes)))
     stops = blow.kind == "node_stop"
-    faults = [Fault(at_s=BLOW_S, kind=blow.kind, nodes=struck, spread_s=blow.spread_s,  # type: ignore[arg-type]
+    faults = [Fault(at_s=blow.at_s, kind=blow.kind, nodes=struck, spread_s=blow.spread_s or None,  # type: ignore[arg-type]
                     **({"for_s": blow.back_s} if stops else {"back_s": blow.back_s}))]  # type: ignore[arg-type]
     if blow.release:
         faults += [
-            Fault(at_s=BLOW_S - 2.5, kind="drain", servers=0.25, linger_s=2.0, back_s=2.5),
-            Fault(at_s=BLOW_S - 1.0, kind="slow", servers=0.125, for_s=blow.length_s - BLOW_S, factor=4.0),
+            Fault(at_s=blow.at_s - 2.5, kind="drain", servers=0.25, linger_s=2.0, back_s=2.5),
+            Fault(at_s=blow.at_s - 1.0, kind="slow", servers=0.125, for_s=blow.length_s - blow.at_s, factor=4.0),
         ]
     return check(Scenario(
         name=f"comeback-{blow.nodes}-{seed}", length_s=blow.length_s,
