Take a node that is down only while it is, and let its keeper refuse the word otherwise

Excluded: doubtful nodes, old epochs, answers that overtake. At fault: a node that is down is taken without limit, on what was last heard of it, up to two seconds ago; its next word was lost, and it served again when the command came.

--- a/headspar/keeper/host.py
+++ b/headspar/keeper/host.py
@@ -520,14 +520,19 @@
             self.store.names(), self.silent_since < 0 and core.serving is not None,
             min(1e9, now - self.figures_at), self.figures, pid, str(self.identity.get("program", "")),
             str(self.identity.get("settings", "")), bool(self.fetching), self.began, self.serial,
-            max(0.0, now - self.silent_since) if self.silent_since >= 0 else 0.0,
+            self._silent(),
         )
 
+    def _silent(self) -> float:
+        """For how long the node has not answered, s."""
+        return max(0.0, time.monotonic() - self.silent_since) if self.silent_since >= 0 else 0.0
+
     async def take(self, message: m.Message) -> m.Reply:
         """The answer to one word."""
         if isinstance(message, m.Ask):
             return m.Reply(True, "", self.status())
-        weighed = words.weigh(message, self.own.name, self.fence, self.core, self.store.has)
+        down = self.core.serving is None or self._silent() > m.DOWN_S
+        weighed = words.weigh(message, self.own.name, self.fence, self.core, self.store.has, down)
         if not isinstance(message, m.Touch) or not weighed.ok:
             self.events.say("keeper.command", say=str(type(message).__struct_config__.tag), epoch=message.epoch,
                             step=weighed.step, verdict=weighed.verdict.value, why=weighed.why)
--- a/headspar/keeper/messages.py
+++ b/headspar/keeper/messages.py
@@ -11,6 +11,9 @@
 MAX_LINE = 64 * 1024
 
 
+DOWN_S = 2.0  # without an answer to its keeper, some looks of it, a node counts as serving nobody
+
+
 class Word(msgspec.Struct, frozen=True, kw_only=True, tag_field="say"):
     """``epoch``: the controller's turn.  ``clock``: seconds of the change.  ``node``: whom it is meant for, as an
     address may have become another's."""
@@ -38,7 +41,10 @@
 
 
 class Try(Step, frozen=True, tag="try"):
+    """``down``: only while the node serves nobody, as no limit was kept for it."""
+
     order: Order
+    down: bool = False
 
 
 class About(Step, frozen=True):
@@ -57,9 +63,10 @@
 
 
 class Back(About, frozen=True, tag="back"):
-    """Go to a generation, whatever runs."""
+    """Go to a generation, whatever runs; ``down`` as with ``Try``."""
 
     reason: str
+    down: bool = False
 
 
 class Ask(msgspec.Struct, frozen=True, kw_only=True, tag_field="say", tag="status"):
--- a/headspar/keeper/words.py
+++ b/headspar/keeper/words.py
@@ -27,8 +27,10 @@
     step: int = 0
 
 
-def weigh(word: m.Word, name: str, fence: Fence, core: Core, has: Callable[[str], bool]) -> Weighed:
-    """``name``: the keeper's own; ``has``: whether a generation lies here."""
+def weigh(
+    word: m.Word, name: str, fence: Fence, core: Core, has: Callable[[str], bool], down: bool,
+) -> Weighed:
+    """``name``: the keeper's own; ``has``: whether a generation lies here; ``down``: the node serves nobody."""
     step = getattr(word, "step", 0)
     verdict = fence.judge(word.epoch, step)
     if word.node != name:
@@ -41,6 +43,8 @@
         assert fence.answer is not None
         return Weighed(verdict, bool(fence.answer["ok"]), str(fence.answer["why"]), False, step)
     why = _refusal(word, core, has)
+    if not why and isinstance(word, m.Try | m.Back) and word.down and not down:
+        why = "it serves by now"
     # A refusal uses its step up as well: the same word, held up on the way, must not be taken later on.
     return Weighed(verdict, not why, why, step > 0 or word.epoch > fence.epoch, step)
 
--- a/headspar/rollout/rehearsal.py
+++ b/headspar/rollout/rehearsal.py
@@ -146,7 +146,7 @@
     def take(self, said: m.Word) -> tuple[bool, Status]:
         """A word has come."""
         now, core = self.world.now, self.core
-        weighed = words.weigh(said, self.name, self.fence, core, lambda generation: True)
+        weighed = words.weigh(said, self.name, self.fence, core, lambda generation: True, core.serving is None)
         self.world.refused += weighed.verdict in (Verdict.FENCED, Verdict.OLD)
         if weighed.counts:
             if weighed.step:
--- a/headspar/rollout/state.py
+++ b/headspar/rollout/state.py
@@ -76,7 +76,6 @@
     (S.PERSON, C.RESUME): S.CONFIRMING,  # of a change that could not be confirmed
 }
 OVER = (S.DONE, S.TAKEN_BACK)
-DOWN_S = 2.0  # without an answer; some looks of its keeper
 # In which states a word that was never answered may be said again.
 HOLDING = {"try": (S.STAGE, S.PROVING), "hold": (S.CONFIRMING,), "confirm": (S.CONFIRMING, S.DONE),
            "back": (S.BACK, *OVER)}
@@ -131,6 +130,7 @@
     generation: str = ""
     order: Order | None = None
     reason: str = ""
+    down: bool = False  # only while the node serves nobody
 
 
 def word(command: Command, epoch: int, clock: float, step: int) -> m.Word:
@@ -138,12 +138,12 @@
     head: dict[str, Any] = {"node": command.node, "epoch": epoch, "clock": clock, "step": step}
     if command.say == "try":
         assert command.order is not None
-        return m.Try(order=command.order, **head)
+        return m.Try(order=command.order, down=command.down, **head)
     if command.say == "hold":
         return m.Hold(generation=command.generation, **head)
     if command.say == "confirm":
         return m.Confirm(generation=command.generation, **head)
-    return m.Back(generation=command.generation, reason=command.reason, **head)
+    return m.Back(generation=command.generation, reason=command.reason, down=command.down, **head)
 
 
 class Decision(msgspec.Struct):
@@ -197,7 +197,7 @@
         f = status.figures
         cold = f.cold / f.servers if f.servers else 0.0
         # One answer that is late on a busy machine is no proof that it serves nobody, and frees nobody's place.
-        down = not status.running or status.silent > DOWN_S
+        down = not status.running or status.silent > m.DOWN_S
         return Now(name, self.sites[name], moving or down or not status.answers, f.rate, cold, down)
 
     def room(self, clock: float) -> Room:
@@ -332,7 +332,7 @@
                 waits = waits or f"{name}: {refusal}"
                 continue
             room.take(name)
-            out.commands.append(Command(name, "try", change.goal, self._order(name)))
+            out.commands.append(Command(name, "try", change.goal, self._order(name), down=room.nodes[name].down))
         out.waits = waits
         if open_ == 0:
             out.cause = C.SERVED
@@ -418,7 +418,7 @@
                 out.waits = out.waits or f"{name}: {refusal}"
                 continue
             room.take(name)
-            out.commands.append(Command(name, "back", change.before, reason=change.why))
+            out.commands.append(Command(name, "back", change.before, reason=change.why, down=room.nodes[name].down))
         if todo and stuck and clock - change.since > ways.ready_s:
             out.cause, out.why = C.STUCK, stuck
         elif not todo:
@@ -450,7 +450,8 @@
                 continue
             if not room.refusal(name, stays=True, needed=True):
                 room.take(name)
-                out.commands.append(Command(name, "back", goal, reason="the change is over"))
+                out.commands.append(
+                    Command(name, "back", goal, reason="the change is over", down=room.nodes[name].down))
         return out
 
     # ------------------------------------------------------------ moving
--- a/tests/keeper/test_words.py
+++ b/tests/keeper/test_words.py
@@ -33,6 +33,7 @@
         self.core, self.fence = c, fence or Fence(2, 4, {"ok": True, "why": ""})
         self.written: list[tuple[Fence, Lasting]] = []
         self.disk = True
+        self.down = False
 
     def keep(self, fence: Fence) -> bool:
         if self.disk:
@@ -40,7 +41,7 @@
         return self.disk
 
     def hear(self, word: m.Word) -> tuple[bool, str]:
-        weighed = weigh(word, "n", self.fence, self.core, {"old", "new"}.__contains__)
+        weighed = weigh(word, "n", self.fence, self.core, {"old", "new"}.__contains__, self.down)
         if weighed.counts:
             self.fence = take(word, weighed, self.fence, self.core, 100.0, self.keep)
         return weighed.ok, weighed.why
@@ -104,7 +105,7 @@
     assert desk.hear(touch) == (True, "") and desk.fence.epoch == 3 and len(desk.written) == 1
     assert desk.hear(touch) == (True, "") and len(desk.written) == 1
     assert desk.hear(TRY)[1].startswith("epoch 2 is over")
-    assert weigh(touch, "n", desk.fence, desk.core, lambda _: True).verdict is Verdict.NEW
+    assert weigh(touch, "n", desk.fence, desk.core, lambda _: True, False).verdict is Verdict.NEW
 
 
 def test_a_trial_of_another_change_can_be_replaced_confirmed_and_taken_back() -> None:
@@ -113,3 +114,14 @@
     assert desk.hear(said(m.Confirm, generation="new"))[0] and desk.core.lasting.present == "new"
     desk = Desk(core(trial="new"))
     assert desk.hear(said(m.Try, order=Order("another", "old", 5.0)))[0] and desk.core.trial == "old"
+
+
+def test_a_word_for_a_node_that_is_down_is_refused_once_it_serves() -> None:
+    """The controller kept no limit for it; what it knew may be two seconds old."""
+    order = Order("c", "new", 5.0)
+    desk = Desk(core())
+    assert desk.hear(said(m.Try, order=order, down=True)) == (False, "it serves by now")
+    assert desk.hear(said(m.Back, 6, generation="new", reason="x", down=True)) == (False, "it serves by now")
+    assert desk.core.course is Course.SETTLED and desk.fence.step == 6
+    desk.down = True
+    assert desk.hear(said(m.Try, 7, order=order, down=True))[0] and desk.core.trial == "new"
