Hear no controller before the keeper has learned which epoch its machine knows

Seen: a whole suite on a busy machine; a keeper whose state, fence and generations were gone answered "absent", epoch 0. Examined: the same test alone passes; its first status came before the keeper had asked its node. At fault: Host.run listens before it recovers (the address is its lock) and answered words meanwhile: for that moment it would have taken a word of an epoch that is over.

--- a/headspar/keeper/host.py
+++ b/headspar/keeper/host.py
@@ -129,6 +129,7 @@
         self.disk_failed = False
         self.began, self.serial = time.time(), 0
         self.stopping = asyncio.Event()
+        self.recovered = asyncio.Event()
 
     # ------------------------------------------------------------ start and end
 
@@ -143,6 +144,7 @@
         except OSError as error:
             raise HostError(f"keeper.listen: {self.table.listen}: {error.strerror or error}") from None
         await self._recover()
+        self.recovered.set()
         self._spawn(self._ticking())
         self._spawn(self._looking())
         await self.stopping.wait()
@@ -491,6 +493,7 @@
                 return
             async with asyncio.timeout(LINE_S):
                 line = await reader.readline()
+            await self.recovered.wait()  # until then it does not know which epoch its machine has heard of
             try:
                 message = m.decode(line)
             except msgspec.MsgspecError as error:
