--- a/headspar/lab/scripted.py
+++ b/headspar/lab/scripted.py
@@ -48,6 +48,10 @@
         """Between the relayed nodes and the servers of a site; how many links that is."""
         servers = {p.id for p in self.plan.servers if p.site == site}
         links = [stream for (_, server), stream in self.to_servers.items() if server in servers]
+        if not weather.hold_up:  # what was written into a cut link is lost with its connection
+            for stream in links:
+                stream.reset()
+            await asyncio.sleep(0.05)
         for stream in links:
             await stream.become(weather)
         return len(links)
