Keep the lease's decisions in a module of their own, without clock or database

Change: rollout/lease.py (acquired, renewed, lifted, released), the record reads and writes it whole in each transaction.

--- a/headspar/rollout/record.py
+++ b/headspar/rollout/record.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from headspar.failpoints import failpoint
+from headspar.rollout.lease import Lease
 from headspar.rollout.state import OVER, Cause, Change, Command, State
 
 SCHEMA = """
@@ -101,9 +102,9 @@
             self.db.execute("BEGIN IMMEDIATE")
             try:
                 if epoch is not None:
-                    held = self.db.execute("SELECT epoch, holder FROM lease").fetchone()
-                    if held[0] != epoch:
-                        raise Fenced(f"epoch {epoch} is over, {held[1]} has {held[0]}")
+                    held = self._lease(self.db)
+                    if held.epoch != epoch:
+                        raise Fenced(f"epoch {epoch} is over, {held.holder} has {held.epoch}")
                 yield self.db
                 failpoint("record.commit")
                 self.db.execute("COMMIT")
@@ -119,42 +120,49 @@
     def acquire(self, holder: str, now: float, seconds: float) -> int | None:
         """A new epoch, if the lease is free or has run out; None if another has it.  ``now``: wall clock."""
         with self._write() as db:
-            _, epoch, until = db.execute("SELECT holder, epoch, until FROM lease").fetchone()
-            if until > now and until - now <= 10 * seconds:  # a clock that was set back must not hold it for good
-                return None
-            db.execute("UPDATE lease SET holder = ?, epoch = ?, until = ?", (holder, epoch + 1, now + seconds))
-            return int(epoch) + 1
+            lease = self._lease(db).acquired(holder, now, seconds)
+            if lease is not None:
+                self._hold(db, lease)
+            return None if lease is None else lease.epoch
 
     def renew(self, epoch: int, now: float, seconds: float) -> None:
         """``Fenced`` if another has it by now."""
         with self._write(epoch) as db:
-            db.execute("UPDATE lease SET until = ?", (now + seconds,))
+            self._hold(db, self._lease(db).renewed(now, seconds))
 
     def lift(self, epoch: int, epoch_heard: int, step_heard: int) -> int:
         """Keepers have heard of later ones than the record holds: the epoch from now on, above theirs; steps go on
         above theirs as well.  ``Fenced`` if the lease is not ours."""
         with self._write(epoch) as db:
-            if epoch_heard > epoch:
-                epoch = epoch_heard + 1
-                db.execute("UPDATE lease SET epoch = ?", (epoch,))
+            lease = self._lease(db).lifted(epoch_heard)
+            self._hold(db, lease)
             if step_heard > self.last_step:
                 db.execute("DELETE FROM sqlite_sequence WHERE name = 'step'")
                 db.execute("INSERT INTO sqlite_sequence VALUES ('step', ?)", (step_heard,))
                 self.last_step = step_heard
-        return epoch
+        return lease.epoch
 
     def release(self, epoch: int) -> None:
         """Let the next one take it at once; nothing if another has it."""
         try:
             with self._write(epoch) as db:
-                db.execute("UPDATE lease SET until = 0")
+                self._hold(db, self._lease(db).released())
         except (Fenced, OSError):
             pass
 
     def holder(self) -> tuple[str, int, float]:
         """Who has or had the lease, the epoch, and until when."""
-        row = self.db.execute("SELECT holder, epoch, until FROM lease").fetchone()
-        return str(row[0]), int(row[1]), float(row[2])
+        lease = self._lease(self.db)
+        return lease.holder, lease.epoch, lease.until
+
+    @staticmethod
+    def _lease(db: sqlite3.Connection) -> Lease:
+        holder, epoch, until = db.execute("SELECT holder, epoch, until FROM lease").fetchone()
+        return Lease(str(holder), int(epoch), float(until))
+
+    @staticmethod
+    def _hold(db: sqlite3.Connection, lease: Lease) -> None:
+        db.execute("UPDATE lease SET holder = ?, epoch = ?, until = ?", (lease.holder, lease.epoch, lease.until))
 
     # ------------------------------------------------------------ changes
 
--- a/tests/rollout/test_parts.py
+++ b/tests/rollout/test_parts.py
@@ -18,6 +18,7 @@
 from headspar.keeper.core import Outcome
 from headspar.keeper.messages import Figures, Status
 from headspar.rollout import fleet
+from headspar.rollout.lease import Lease
 from headspar.rollout.limits import Limits, Now, Room
 from headspar.rollout.record import Busy, Fenced, Record
 from headspar.rollout.stages import Candidate, plan
@@ -375,3 +376,13 @@
     assert reached == set(State)
     ends = {state for state in State if not any(before is state for before, _ in TABLE)}
     assert ends == {State.DONE, State.TAKEN_BACK}
+
+
+def test_a_lease_is_had_by_one_and_its_epoch_only_rises() -> None:
+    first = Lease().acquired("a", 100.0, 5.0)
+    assert first == Lease("a", 1, 105.0)
+    assert first.acquired("b", 104.9, 5.0) is None and first.renewed(104.0, 5.0).until == 109.0
+    assert first.acquired("b", 105.0, 5.0) == Lease("b", 2, 110.0)
+    assert first.released().acquired("b", 100.1, 5.0) == Lease("b", 2, 105.1)
+    assert first.acquired("b", 20.0, 5.0) == Lease("b", 2, 25.0), "a clock that was set back must not hold it"
+    assert first.lifted(7).epoch == 8 and first.lifted(1) == first.lifted(0) == first
