--- a/tests/comeback/test_hard_cases.py
+++ b/tests/comeback/test_hard_cases.py
@@ -30,7 +30,8 @@
 
 def fleet(**more: Any) -> Scenario:
     s = scenario(Blow(**{"nodes": NODES, "at_s": AT_S, "length_s": 15.0, "utilisation": 0.4, **more}), 1)
-    return replace(s, rules=replace(s.rules, lateness_ms=STALL_MS, answer_slack_ms=s.rules.answer_slack_ms + STALL_MS))
+    slack = s.rules.answer_slack_ms + STALL_MS
+    return replace(s, rules=replace(s.rules, lateness_ms=STALL_MS, answer_slack_ms=slack))
 
 
 def with_faults(s: Scenario, *faults: Fault, keep: tuple[str, ...] = ("drain", "slow")) -> Scenario:
