--- a/headspar/rollout/state.py
+++ b/headspar/rollout/state.py
@@ -292,6 +292,9 @@
         gone = [n for n in others if self.age(n, clock) > 0.75 * ways.lost_s]  # last heard a little later, say
         if others and 2 * len(gone) >= len(others):
             return f"site {site} is not heard of, old nodes and new ones alike"
+        silent = [n for n in others if self.age(n, clock) > ways.lost_s / 3]
+        if others and 2 * len(silent) >= len(others):
+            return ""  # they have fallen silent as well, last heard of later still: soon it will be known
         return f"{lost[0]} is not heard of"
 
     def _order(self, name: str) -> Order:
--- a/tests/rollout/test_parts.py
+++ b/tests/rollout/test_parts.py
@@ -280,6 +280,23 @@
     assert got.cause is Cause.FAILED_PAUSE and "site a is not heard of, old nodes and new" in got.why
 
 
+def test_a_site_whose_old_nodes_fell_silent_a_little_later_is_waited_for_and_not_blamed_on_the_change() -> None:
+    d = director(State.PROVING, 0, a1=trial("a1"))
+    for name, at in (("a1", 100.0), ("a2", 103.0), ("a3", 103.0), ("b1", 106.4), ("b2", 106.4)):
+        d.seen[name].at = at
+    d.last = 106.4
+    assert d.decide(106.5).cause is None, "a1 for 6.5 s, the others of its place for 3.5: nobody knows yet"
+    for name in ("b1", "b2"):
+        d.seen[name].at = 107.7
+    d.last = 107.7
+    assert d.decide(107.8).cause is Cause.FAILED_PAUSE
+    d = director(State.PROVING, 0, a1=trial("a1"))
+    for name, at in (("a1", 100.0), ("a2", 106.4), ("a3", 106.4), ("b1", 106.4), ("b2", 106.4)):
+        d.seen[name].at = at
+    d.last = 106.4
+    assert d.decide(106.5).cause is Cause.FAILED, "the others are heard of"
+
+
 def test_a_controller_that_stood_still_holds_no_silence_of_that_time_against_nodes() -> None:
     d = director(State.PROVING, 0, a1=trial("a1"))
     assert d.decide(100.0).cause is Cause.NEXT
