Draw no two addresses of a node alike, and let no operator's call of the lab wait for ever

Seen: a whole suite stood still for five minutes after 1,025 of 1,031 tests had passed, none failed. Examined: the run's records were written; the lab waited for a node's /stats; that node listened twice at one port, for clients and for operators, as ports are shared and both had been drawn free on one host (1 in 28,000 for each node). Its clients' side had taken the call and kept the connection. Change: addresses of a node are drawn unlike, and a call ends after 20 s.

--- a/headspar/lab/kept.py
+++ b/headspar/lab/kept.py
@@ -186,7 +186,8 @@
         super()._plan_nodes(names, listens)
         for name, plain in list(self.nodes.items()):
             node = KeptNode(name, plain.config, plain.listen, plain.dir)
-            node.both = (free_address(node.listen[0]), free_address(node.listen[0]))
+            one = free_address(node.listen[0], node.listen)
+            node.both = (one, free_address(node.listen[0], node.listen, one))
             self.nodes[name] = node
 
     async def _start_node(self, node: NodeProcess) -> None:
--- a/headspar/lab/nodes.py
+++ b/headspar/lab/nodes.py
@@ -17,6 +17,7 @@
 from headspar.world.records import Mark
 
 Address = tuple[str, int]
+CALL_S = 20.0  # for an operator's call
 
 
 class _Relay(asyncio.DatagramProtocol):
@@ -88,7 +89,7 @@
         self.command = [sys.executable, "-m", "headspar"]
         self.operator: Path | None = None  # its operator's file
         self.stopped = False  # it stands still
-        self.ops = free_address(listen[0])
+        self.ops = free_address(listen[0], listen)
         self.tmp = dir / f"{name}.tmp"
 
     def record(self) -> None:
@@ -125,7 +126,7 @@
         """Start a second process of the node, with operators elsewhere, which is the node from now on; the first."""
         first = self.process
         assert first is not None
-        self.ops = free_address(self.listen[0])
+        self.ops = free_address(self.listen[0], self.listen, self.ops)
         self.process = await self._spawn(known, discovery)
         self.marks.append(Mark(now_us(), "node_upgrade", self.name))
         self.watchers.append(asyncio.create_task(self._watch(self.process)))
@@ -142,7 +143,8 @@
         reader, writer = await asyncio.open_connection(*self.ops)
         try:
             writer.write(f"{method} {path} HTTP/1.1\r\nHost: lab\r\nContent-Length: 0\r\n\r\n".encode())
-            head, _, body = (await reader.read()).partition(b"\r\n\r\n")
+            async with asyncio.timeout(CALL_S):
+                head, _, body = (await reader.read()).partition(b"\r\n\r\n")
         finally:
             writer.close()
         return int(head.split()[1]), json.loads(body)
@@ -212,8 +214,12 @@
                 self.process.kill()
 
 
-def free_address(host: str) -> Address:
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        address: Address = sock.getsockname()
-        return address
+def free_address(host: str, *others: Address) -> Address:
+    """One that nobody listens at, and none of ``others``: a node shares its ports, so that two of its own drawn alike
+    would take each other's callers."""
+    while True:
+        with socket.socket() as sock:
+            sock.bind((host, 0))
+            address: Address = sock.getsockname()
+        if address not in others:
+            return address
--- a/tests/lab/test_nodes_under_faults.py
+++ b/tests/lab/test_nodes_under_faults.py
@@ -16,6 +16,7 @@
 from msgspec.structs import replace
 
 from headspar.commands import scenario_names
+from headspar.lab.nodes import free_address
 from headspar.lab.run import Result, RunError, run_scenario
 from headspar.world.audit import effects_per_key
 from headspar.world.records import End, Fate
@@ -282,3 +283,25 @@
     for name in scenario_names():
         s = parse((FOLDER / f"{name}.toml").read_text())
         assert s.faults or any(g.idle_close == "silent" for g in s.servers)
+
+
+def test_no_two_addresses_of_a_node_are_drawn_alike(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A node shares its ports with whoever listens there: its clients' side took its operators' calls for good."""
+    ports = iter([4001, 4001, 4002])
+
+    class Socket:
+        def __enter__(self) -> Socket:
+            return self
+
+        def __exit__(self, *_: object) -> None:
+            pass
+
+        def bind(self, address: tuple[str, int]) -> None:
+            self.host = address[0]
+
+        def getsockname(self) -> tuple[str, int]:
+            return self.host, next(ports)
+
+    monkeypatch.setattr("headspar.lab.nodes.socket.socket", Socket)
+    listen = free_address("127.0.0.9")
+    assert listen == ("127.0.0.9", 4001) and free_address("127.0.0.9", listen) == ("127.0.0.9", 4002)
