Keep the order, time and end of a client's requests when events cross

Cause, from reading and confirmed by tests: `Client._done` took the next queued request out and scheduled its start for later. A lost connection, a further request or a rejection in between found an empty queue: the request went on for nobody, out of order, or was overtaken. An end behind an answer that is still going out, or while reading is paused, was not noticed; time counted from a request's turn and not from its last byte; one with more time held up those behind it beyond theirs; a long answer that broke took along what had been read behind it; a connection was closed over unread bytes, or forgotten before its answer had gone out; a client that stopped within a request stayed for 10 s.

Change: the queue keeps a request until its turn; EOF ends what is owed; `present` asks the socket; deadlines are set at the last byte and cut to the earliest behind; nothing is read during a long answer; what stops for 2.5 s has its 408; refusals of the node's own bring Retry-After.

--- a/headspar/node/backends.py
+++ b/headspar/node/backends.py
@@ -67,7 +67,7 @@
     __slots__ = (
         "pool", "host", "number", "transport", "poller", "attempt", "unsent", "quiet", "heard_at", "closed", "parser",
         "status", "rejected", "framed", "length", "report", "content_type", "body", "size", "head_size",
-        "in_body", "complete", "keep", "surplus", "streaming", "paused",
+        "in_body", "complete", "keep", "surplus", "streaming", "paused", "kept",
     )
 
     def __init__(self, pool: Backends, host: Host, number: int) -> None:
@@ -92,6 +92,7 @@
         self.body: list[bytes] = []
 
     # ------------------------------------------------------------ its life
+        self.kept = 0  # bytes of the body that count in the budget
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -131,6 +132,8 @@
         self.attempt = None
         transport = self.transport
         if transport is None:
+        self.pool.budget.give_back(self.kept)
+        self.kept = 0
             return
         if not self.closed:
             if self.complete and not self.unsent and not self.surplus and self.keep:
@@ -250,6 +253,14 @@
                 return
             if client is None or not self.pool.node.stream_started(attempt):
                 self.body.clear()  # nobody waits for it any more; the module calls it off
+            if client is not None and client.followed():
+                # It is held whole: a long answer that breaks on its way ends the connection, and what waits
+                # behind it would have no answer.
+                if not self.pool.budget.take(len(data)):
+                    self.size = MAX_BODY + 1
+                    return
+                self.kept += len(data)
+                return
                 return
             self.streaming = True
             client.stream_begin(self, self.length, self.content_type)
--- a/headspar/node/clients.py
+++ b/headspar/node/clients.py
@@ -31,6 +31,7 @@
 SLOW_BODY_US = 20  # a byte; 50 kB a second
 CREEP = 12  # times as slow as that, and it is a stall though bytes come
 LINGER_TICKS = 2
+STOPPED_US = 2_500_000  # without a byte within a request; an error or a close is owed within 3 s
 BLOCK = 16 * 1024  # small pieces of a body are put together up to this size
 IDLE_US = 1_000_000  # a drained node closes what has stood idle for so long
 LOOK_S = 0.05  # and looks for it so often
@@ -40,7 +41,9 @@
     b"idempotency-key",
 ))
 MAX_ID = 200
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 SLOW_LOOK = 50  # of the slow ones are looked at for a newcomer
+IDLE_LOOK = 16  # of those between two requests
 READ_AHEAD = 16  # requests of one connection that may wait for an earlier one's answer
 EMPTY = {
     (status, close): (
@@ -84,7 +87,7 @@
     __slots__ = (
         "server", "node", "transport", "parser", "current", "queue", "touched", "closing", "over", "paused",
         "url", "headers", "incoming", "reading", "head_size", "bad", "source", "close_after", "chunked",
-        "deaf", "served", "began", "twice", "framing",
+        "deaf", "served", "began", "twice", "framing", "poller", "heard_at", "held", "came_at", "continue_due",
     )
 
     def __init__(self, server: Server) -> None:
@@ -104,6 +107,11 @@
         self.reading = False  # within a request
         self.served = False  # has had an answer
         self.began = 0  # when a request that is not whole yet began, if it did not come in one piece
+        self.poller = select.poll()
+        self.heard_at = 0  # when bytes last came
+        self.held = False  # nothing is read for now
+        self.came_at = 0  # when what is read next may have come, if it lay unread for a while
+        self.continue_due = False  # a request that waits for "100 Continue" is behind others
         self._next()
 
     def _next(self) -> None:
@@ -121,17 +129,26 @@
         self.transport = cast(asyncio.Transport, transport)
         # What is written goes to the socket at once, not at the end of the loop's turn by a handle of its own.
         self.transport.set_write_buffer_limits(high=0)
+        self.poller.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
         self.touched = self.server.ticks
         self.server.opened(self)
 
     def eof_received(self) -> None:
-        """The client has closed: asyncio closes our side too."""
+        """The client has closed; asyncio closes our side too, once what is written has gone out.  That may take
+        long where the client reads slowly: what it still waits for ends here and now."""
+        self.leave()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.closing = self.deaf = True
         self.transport = None
-        self._whole()
         self.server.closed(self)
+        self.leave()
+        self.parser = None
+
+    def leave(self) -> None:
+        """The client has gone: nothing more is sent on for it."""
+        self.closing = self.deaf = True
+        self._whole()
+        self.server.idle.pop(self, None)
         self._drop_incoming()
         for item in self.queue:
             if isinstance(item, Request):
@@ -140,12 +157,21 @@
         r, self.current, self.source = self.current, None, None
         if r is not None:
             self.node.gone(r)
-        self.parser = None
+
+    def present(self) -> bool:
+        """Whether the client still holds its connection; known also while nothing of it is read."""
+        if self.transport is None or self.transport.is_closing():
+            return False
+        return not self._polled(select.POLLRDHUP | select.POLLHUP | select.POLLERR)
+
+    def _polled(self, events: int) -> bool:
+        return any(found & events for _, found in self.poller.poll(0))
 
     def data_received(self, data: bytes) -> None:
         if self.deaf:
             return
         self.touched = self.server.ticks
+        self.heard_at = now_us()
         if self.incoming is None:
             self.head_size += len(data)
         try:
@@ -164,10 +190,27 @@
             if self.incoming is None and self.head_size > MAX_HEAD:
                 self._reject(431)
             elif self.reading and not self.began and not self.deaf:
-                self.began = now_us()
+                self.began = self.heard_at
                 self.server.slow[self] = None
-            if len(self.queue) > READ_AHEAD and self.transport is not None and not self.deaf:
-                self.transport.pause_reading()
+            self.came_at = 0
+            if len(self.queue) > READ_AHEAD and not self.deaf:
+                self._hold_reading()
+
+    def _hold_reading(self) -> None:
+        """Read nothing for now; what comes meanwhile stays with the system."""
+        if self.transport is not None and not self.held:
+            self.held = True
+            self.came_at = now_us()
+            self.transport.pause_reading()
+
+    def _resume_reading(self) -> None:
+        if self.transport is None or not self.held:
+            return
+        self.held = False
+        if self.transport.is_closing() or not self._polled(select.POLLIN):
+            self.came_at = 0
+        self.heard_at = now_us()
+        self.transport.resume_reading()
 
     def _read_on(self, rest: bytes) -> None:
         """The parser stops at an upgrade and leaves out the body.  We offer none, so it is ignored (RFC 9110
@@ -229,7 +272,9 @@
                 if self.bad:
                     self._reject(self.bad)  # the body stays where it is
                 elif not self.queue and self.current is None:
-                    self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+                    self.transport.write(CONTINUE)
+                else:
+                    self.continue_due = True
 
     def _frame(self) -> None:
         """Keep the framing of a request whose body the parser will leave out."""
@@ -313,8 +358,14 @@
         if not self.parser.should_keep_alive():
             self.close_after = True
         item = bad or r
-        if not bad and r is not None and (r.body or r.head.startswith(b"POST")):
-            r.extra += b"Content-Length: %d\r\n" % sum(map(len, r.body))
+        if not bad and r is not None:
+            if r.body or r.head.startswith(b"POST"):
+                r.extra += b"Content-Length: %d\r\n" % sum(map(len, r.body))
+            r.came = self.came_at or self.node.came()
+            r.deadline = r.came + r.budget_us
+            if self.current is not None:
+                self.node.hasten(self.current, r.deadline)
+        self.continue_due = False
         self._next()
         self._whole()
         if self.current is not None or self.queue:
@@ -336,6 +387,9 @@
     def _take(self, item: Request | int | None) -> None:
         if isinstance(item, Request):
             self.current = item
+            # Answers go out in the order of requests: one that has longer must not hold up those behind it
+            # beyond their time.
+            item.deadline = min([item.deadline, *(r.deadline for r in self.queue if isinstance(r, Request))])
             self.node.arrived(item)
         elif item:
             self._put(EMPTY[item, self._last()])
@@ -380,15 +434,26 @@
         if self._last():
             self._finish()
         elif self.queue:
-            item = self.queue.popleft()
-            if not self.queue:
-                self.transport.resume_reading()
-            self.node.loop.call_soon(self._take, item)
+            # It stays in the queue until its turn: what is read in between is behind it.
+            self.node.loop.call_soon(self._advance)
+        elif self.continue_due:
+            self.continue_due = False
+            self.heard_at = now_us()
+            self.transport.write(CONTINUE)
         elif not self.reading:
             self.server.idle[self] = now_us()
             if self.node.lifecycle.hands_over:
                 self.node.loop.call_soon(self.server.on_idle)
 
+    def _advance(self) -> None:
+        """Go on with the first of those that wait, if the client has not gone meanwhile."""
+        if self.transport is None or not self.queue or self.current is not None:
+            return
+        item = self.queue.popleft()
+        if not self.queue:
+            self._resume_reading()
+        self._take(item)
+
     def _finish(self) -> None:
         """End after the last answer.  Closing with bytes unread would reset the connection and take the
         answer with it, so our side ends first and what still comes is read and dropped for a while."""
@@ -396,7 +461,7 @@
         self.touched = self.server.ticks
         self._drop_incoming()
         if self.transport is not None and not self.transport.is_closing():
-            self.transport.resume_reading()
+            self._resume_reading()
             self.transport.write_eof()
 
     def refuse(self, r: Request, status: int, retry_after_us: int) -> None:
@@ -421,11 +486,18 @@
         self._put(self._head(b"Content-Length: %d\r\n" % len(body), content_type) + body)
         self._done()
 
+    def followed(self) -> bool:
+        """Whether requests wait behind the one that is being answered."""
+        return bool(self.queue)
+
     def stream_begin(self, source: Connection, length: int, content_type: bytes) -> None:
         """A long answer follows in parts."""
         self.chunked = length < 0
         framing = b"Transfer-Encoding: chunked\r\n" if self.chunked else b"Content-Length: %d\r\n" % length
         self.source = source
+        # A long answer that breaks takes the connection along: requests behind it had better stay unread.
+        self._hold_reading()
+        self.server.streaming[self] = None
         self._put(self._head(framing, content_type))
 
     def stream_write(self, data: bytes) -> None:
@@ -434,6 +506,7 @@
     def stream_end(self, whole: bool) -> None:
         """The long answer is over; one that is not whole must be seen not to be."""
         self.source = None
+        self.server.streaming.pop(self, None)
         if not whole:
             self.current = None
             if self.transport is not None:
@@ -441,6 +514,7 @@
             return
         if self.chunked:
             self._put(b"0\r\n\r\n")
+        self._resume_reading()
         self._done()
 
     def pause_writing(self) -> None:
@@ -473,23 +547,32 @@
             return "in a head" if self.incoming is None else "in a body"
         return "idle" if self.served else "unused"
 
+    def finished(self) -> bool:
+        """Whether its last answer has gone out and nothing lies unread that would make a close a reset."""
+        return self.closing and not self._unread() and not self.spoken()
+
     def spoken(self) -> bool:
         """Whether something has come that is not read yet: a close would cross it."""
-        if self.transport is None:
-            return False
-        poller = select.poll()
-        poller.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return bool(poller.poll(0))
+        return self.transport is not None and not self.transport.is_closing() and bool(self.poller.poll(0))
 
     def _unread(self) -> bool:
         return self.transport is not None and self.transport.get_write_buffer_size() > 0
 
+    def stopped(self, now: int) -> bool:
+        """Whether the client has stopped in the middle of a request."""
+        return self.reading and not self.held and not self.continue_due and now - self.heard_at > STOPPED_US
+
     def stall(self) -> None:
         if self.reading and not self.closing and self.current is None and not self._unread():
             self._reject(408)
         elif self.transport is not None:
             self.transport.abort()
 
+    def stop(self) -> None:
+        """Answer a request that will never be whole, behind those before it."""
+        self.node.log("client: stopped within a request")
+        self._reject(408)
+
 
 class Server:
     """The listener and all client connections, within one budget of descriptors."""
@@ -499,6 +582,7 @@
         self.clients: dict[Client, None] = {}
         self.idle: dict[Client, int] = {}  # between requests, and since when; the longest idle first
         self.slow: dict[Client, None] = {}
+        self.streaming: dict[Client, None] = {}  # those that get a long answer, during which they are not read
         self.ticks = 0
         self.looking: asyncio.TimerHandle | None = None  # for idle ones, in a drain
         self.intake = Intake(node.settings)
@@ -514,25 +598,30 @@
         if slow is not None:
             self.drop_slow(slow)
             return
-        oldest = next(iter(self.idle))
-        if oldest is not client:
-            self.drop_idle(oldest)
+        resting = next((c for c in islice(self.idle, IDLE_LOOK) if c is not client and not c.spoken()), None)
+        if resting is not None:
+            self.drop_idle(resting)
             return
         client.over = True
         if len(self.clients) > self.most + self.spare:
-            victim = next((c for c in self.clients if c.current is None and c is not client), client)
-            if victim.transport is not None:
-                victim.transport.abort()
+            self._drop_any(client)
+
+    def _drop_any(self, newcomer: Client) -> None:
+        """Descriptors are out: one goes of those that are owed no answer, else the newcomer, unread."""
+        victim = next((c for c in self.clients if c.finished() and c is not newcomer), newcomer)
+        if victim.transport is not None:
+            victim.transport.abort()
 
     def drop_idle(self, client: Client) -> None:
+        """Close one between two requests, once what was written to it has gone out."""
         self.idle.pop(client, None)
-        self.clients.pop(client, None)
+        client.closing = client.deaf = True
         if client.transport is not None:
             client.transport.close()
 
     def drop_slow(self, client: Client) -> None:
-        self.clients.pop(client, None)
-        client.deaf = True
+        client.closing = client.deaf = True
+        self.slow.pop(client, None)
         if client.transport is not None:
             client.transport.write(EMPTY[408, True])
             client.transport.close()
@@ -540,6 +629,15 @@
     def closed(self, client: Client) -> None:
         self.clients.pop(client, None)
         self.idle.pop(client, None)
+        self.streaming.pop(client, None)
+
+    def look(self, now: int) -> None:
+        """A few times a second: end what has stopped within a request, and long answers whose client has gone."""
+        for client in [c for c in self.slow if c.stopped(now)]:
+            client.stop()
+        for client in [c for c in self.streaming if not c.present()]:
+            if client.transport is not None:
+                client.transport.abort()
 
     def sweep(self) -> None:
         """Once a second: end what has stalled."""
--- a/headspar/node/core.py
+++ b/headspar/node/core.py
@@ -52,6 +52,7 @@
     from headspar.recorder.file import Recorder
 
 GRAIN_US = 2_000
+DOOR_RETRY_US = 1_000_000  # what the node itself refuses may be asked again after it
 LOG_LINES = 20  # of the node's own, in each LOG_SPAN_US
 LOG_SPAN_US = 10_000_000
 TIMER, DEADLINE, STOP = 0, 1, 2
@@ -73,7 +74,7 @@
     __slots__ = (
         "key", "client", "head", "call_id", "cls", "tenant", "target_key", "budget_us", "hint_us",
         "is_repeat", "extra", "body", "size", "deadline", "live", "attempts", "out", "stream",
-        "left", "limit", "proof",
+        "left", "limit", "proof", "came",
     )
 
     def __init__(self, client: Client) -> None:
@@ -90,6 +91,7 @@
         self.extra = b""
         self.body: list[bytes | bytearray] = []
         self.size = 0
+        self.came = 0  # when it was whole, at the earliest
         self.deadline = 0
         self.live = False
         self.left = False  # the client went away before it had one
@@ -137,6 +139,7 @@
         self.standstill = Standstill(now_us())
         self.lists_first = False  # a standstill has just ended
         self.recorder: Recorder | None = None
+        self.closing = False  # the process ends soon: what still comes is refused
         self.recorded_at = 0
         self.log_from, self.log_count = 0, 0
         self.actions = {
@@ -229,14 +232,23 @@
     # ------------------------------------------------------------ a request's life
 
     def arrived(self, r: Request) -> None:
+    def came(self) -> int:
+        """When what is read now came, at the earliest."""
+        return self.standstill.came(self._look())
+
+    def retry_after(self) -> int:
+        """For what the node itself refuses, us; 0 where clients are told nothing."""
+        s = self.settings
+        return min(s.max_retry_after_us, DOOR_RETRY_US) if s.retry_after else 0
+
         now = self._look()
+        """A whole request; ``r.deadline`` counts from when it was whole, however long it waited behind others."""
         self.ledger.took()
-        if len(self.requests) >= self.most_held:
-            self.answer(r, 503)
+        if self.closing or len(self.requests) >= self.most_held:
+            self.answer(r, 503, self.retry_after())
             return
         self.serial += 1
         r.key = str(self.serial)
-        r.deadline = self.standstill.came(now) + r.budget_us
         r.live = True
         r.limit = self.settings.max_attempts
         r.proof = r.cls not in self.backends.repeatable
@@ -250,6 +262,12 @@
         )
 
     def turned_away(self, r: Request) -> None:
+    def hasten(self, r: Request, deadline: int) -> None:
+        """Another request waits for the answer to this one, and has less time left."""
+        if r.live and deadline < r.deadline:
+            r.deadline = deadline
+            self._at(deadline, DEADLINE, 0, r.key)
+
         """A request that the door has refused with 503: taken and ended at once."""
         self.ledger.took()
         self.ledger.answered(r.cls, 503)
@@ -337,7 +355,7 @@
     def _share(self, r: Request, now: int) -> float:
         """The time that a request has taken, of the wanted time; 0 for a class that nobody names."""
         aim, stretch = self.aims.get(r.cls, (0, 0.0))
-        return (now - r.deadline + r.budget_us) / (aim + stretch * (r.hint_us or 0)) if aim else 0.0
+        return (now - r.came) / (aim + stretch * (r.hint_us or 0)) if aim else 0.0
 
     def figures(self) -> dict[str, Any]:
         """What ``GET /stats`` shows; which backends are avoided the module says."""
--- /dev/null
+++ b/tests/node/harness.py
@@ -0,0 +1,156 @@
+"""Real protocol objects of the client side, driven one call at a time; the loop does nothing by itself."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from types import SimpleNamespace
+from typing import Any, cast
+
+from headspar.node.backends import Budget
+from headspar.node.clients import Client, Server
+from headspar.node.core import Node, Request
+from headspar.operations.lifecycle import Cause, Lifecycle
+from tests.helpers import settings
+
+Call = tuple[Callable[..., None], tuple[Any, ...]]
+
+
+class Loop:
+    """Keeps what is to be called soon until ``run``."""
+
+    def __init__(self) -> None:
+        self.soon: list[Call] = []
+
+    def call_soon(self, call: Callable[..., None], *arguments: Any) -> None:
+        self.soon.append((call, arguments))
+
+    def run(self) -> None:
+        while self.soon:
+            call, arguments = self.soon.pop(0)
+            call(*arguments)
+
+
+class Transport:
+    """One end of a connection: what is written is kept, and ``unsent`` bytes of it have not gone out."""
+
+    def __init__(self) -> None:
+        self.here, self.there = socket.socketpair()
+        self.written = b""
+        self.unsent = 0
+        self.closed = self.aborted = self.ended = self.paused = False
+
+    def get_extra_info(self, name: str) -> socket.socket:
+        return self.here
+
+    def set_write_buffer_limits(self, high: int) -> None:
+        """Nothing to limit."""
+
+    def get_write_buffer_size(self) -> int:
+        return self.unsent
+
+    def write(self, data: bytes) -> None:
+        self.written += data
+
+    def write_eof(self) -> None:
+        self.ended = True
+
+    def is_closing(self) -> bool:
+        return self.closed or self.aborted
+
+    def close(self) -> None:
+        self.closed = True
+
+    def abort(self) -> None:
+        self.aborted = True
+
+    def pause_reading(self) -> None:
+        self.paused = True
+
+    def resume_reading(self) -> None:
+        self.paused = False
+
+    def statuses(self) -> list[int]:
+        return [int(part[:3]) for part in self.written.split(b"HTTP/1.1 ")[1:]]
+
+
+class StubNode:
+    """What the client side needs of a node; ``taken`` are the requests that reached it."""
+
+    def __init__(self) -> None:
+        self.loop = Loop()
+        self.settings = settings()
+        self.lifecycle = Lifecycle()
+        self.lifecycle.move(Cause.STARTED)
+        self.taken: list[Request] = []
+        self.left: list[Request] = []
+        self.hastened: list[tuple[Request, int]] = []
+        self.now = 1_000_000
+
+    def came(self) -> int:
+        return self.now
+
+    def retry_after(self) -> int:
+        return 0
+
+    def arrived(self, request: Request) -> None:
+        self.taken.append(request)
+
+    def gone(self, request: Request) -> None:
+        self.left.append(request)
+
+    def hasten(self, request: Request, deadline: int) -> None:
+        self.hastened.append((request, deadline))
+
+    def turned_away(self, request: Request) -> None:
+        """Counted nowhere."""
+
+    def log(self, text: str) -> None:
+        """Read by nobody."""
+
+    def error(self, where: str, error: BaseException) -> None:
+        raise error
+
+    def ids(self) -> list[bytes]:
+        return [request.call_id for request in self.taken]
+
+
+def request(call_id: str, budget: str = "900m") -> bytes:
+    """A whole request of a class that is safe to repeat."""
+    return (f"GET /api/x HTTP/1.1\r\nHost: x\r\nX-Call-Id: {call_id}\r\nX-Call-Class: look\r\n"
+            f"X-Budget: {budget}\r\n\r\n").encode()
+
+
+class Side:
+    """A server with stub parts around it, and its clients."""
+
+    def __init__(self, most: int = 100, spare: int = 10) -> None:
+        self.node = StubNode()
+        self.server = Server(cast(Node, self.node), most, spare, Budget(1 << 20))
+        self.transports: list[Transport] = []
+
+    def client(self) -> tuple[Client, Transport]:
+        client, transport = Client(self.server), Transport()
+        self.transports.append(transport)
+        client.connection_made(cast(Any, transport))
+        return client, transport
+
+    def answer(self, client: Client) -> None:
+        """Serve what the client is waiting for."""
+        assert client.current is not None
+        client.serve(b"ok", b"")
+
+
+@contextmanager
+def side(**limits: int) -> Iterator[Side]:
+    made = Side(**limits)
+    try:
+        yield made
+    finally:
+        for transport in made.transports:
+            transport.here.close()
+            transport.there.close()
+
+
+SOURCE = cast(Any, SimpleNamespace(hold=lambda: None, go_on=lambda: None))
--- /dev/null
+++ b/tests/node/test_client_crossings.py
@@ -0,0 +1,340 @@
+"""What comes between two lines of the client side: an end, a further request, a rejection, a timer.
+
+Each test drives one order over the real protocol objects.
+"""
+
+from __future__ import annotations
+
+import time
+
+import pytest
+
+from headspar.node import clients
+from headspar.node.clients import READ_AHEAD
+from headspar.node.core import now_us
+from tests.loopback import answer, running, wait_for
+from tests.node.harness import SOURCE, request, side
+
+# ---------------------------------------------------------------- between an answer and the next in the queue
+
+
+def test_a_client_that_is_lost_before_its_next_request_is_taken_has_it_sent_on_no_more() -> None:
+    with side() as s:
+        client, _ = s.client()
+        client.data_received(request("1") + request("2"))
+        s.answer(client)
+        client.connection_lost(None)
+        s.node.loop.run()
+        assert s.node.ids() == [b"1"]
+
+
+def test_a_request_read_before_the_next_is_taken_stays_behind_it() -> None:
+    with side() as s:
+        client, transport = s.client()
+        client.data_received(request("1") + request("2"))
+        s.answer(client)
+        client.data_received(request("3"))
+        s.node.loop.run()
+        assert s.node.ids() == [b"1", b"2"] and client.current is s.node.taken[1]
+        s.answer(client)
+        s.node.loop.run()
+        s.answer(client)
+        assert s.node.ids() == [b"1", b"2", b"3"] and transport.statuses() == [200] * 3
+
+
+@pytest.mark.parametrize("bad", [b"NONSENSE\r\n\r\n", request("3", budget="soon")])
+def test_a_rejection_does_not_overtake_the_answer_that_is_still_owed(bad: bytes) -> None:
+    with side() as s:
+        client, transport = s.client()
+        client.data_received(request("1") + request("2"))
+        s.answer(client)
+        client.data_received(bad)
+        s.node.loop.run()
+        assert transport.statuses() == [200] and s.node.ids() == [b"1", b"2"]
+        s.answer(client)
+        s.node.loop.run()
+        assert transport.statuses() == [200, 200, 400]
+
+
+def test_many_that_wait_are_taken_one_by_one_in_order() -> None:
+    with side() as s:
+        client, transport = s.client()
+        client.data_received(b"".join(request(str(i)) for i in range(40)))
+        for _ in range(40):
+            s.answer(client)
+            s.node.loop.run()
+        assert s.node.ids() == [b"%d" % i for i in range(40)]
+        assert transport.statuses() == [200] * 40 and not transport.paused
+
+
+# ---------------------------------------------------------------- a client that has gone, seen or not
+
+
+def test_an_end_behind_an_answer_that_is_still_going_out_ends_what_the_client_waits_for() -> None:
+    """The transport closes only once its buffer is empty: until then the next request went on."""
+    with side() as s:
+        client, transport = s.client()
+        client.data_received(request("1") + request("2") + request("3"))
+        s.answer(client)
+        s.node.loop.run()
+        transport.unsent = 5_000
+        client.eof_received()
+        assert s.node.left == [s.node.taken[1]]
+        s.node.loop.run()
+        assert s.node.ids() == [b"1", b"2"] and not client.queue
+        client.connection_lost(None)  # the end of the transport comes later, and changes nothing
+        assert s.node.left == [s.node.taken[1]]
+
+
+@pytest.mark.parametrize("half", [False, True])
+def test_a_client_that_ends_while_nothing_of_it_is_read_is_known_to_have_gone(half: bool) -> None:
+    with side() as s:
+        client, transport = s.client()
+        client.data_received(b"".join(request(str(i)) for i in range(READ_AHEAD + 2)))
+        assert transport.paused and client.present()
+        transport.there.sendall(b"GET /unread")
+        assert client.present()
+        if half:
+            transport.there.shutdown(1)
+        else:
+            transport.there.close()
+        assert not client.present()
+        client.leave()
+        s.node.loop.run()
+        assert s.node.ids() == [b"0"] and s.node.left == s.node.taken and not client.queue
+
+
+def test_bodies_of_those_that_wait_are_given_back_once() -> None:
+    with side() as s:
+        client, _ = s.client()
+        body = b"POST /api/x HTTP/1.1\r\nHost: x\r\nX-Call-Id: b\r\nX-Call-Class: crew\r\nX-Budget: 900m\r\n"
+        body += b"Content-Length: 1000\r\n\r\n" + bytes(1000)
+        client.data_received(request("1") + body + body)
+        assert s.server.budget.left == s.server.budget.size - 2000
+        client.eof_received()
+        client.connection_lost(None)
+        assert s.server.budget.left == s.server.budget.size
+
+
+# ---------------------------------------------------------------- time counts from a request's last byte
+
+
+def test_a_request_that_waits_behind_another_has_no_more_time_for_it() -> None:
+    with side() as s:
+        client, _ = s.client()
+        client.data_received(request("1", "900m") + request("2", "900m"))
+        s.node.now += 600_000
+        s.answer(client)
+        s.node.loop.run()
+        assert s.node.taken[1].deadline == 1_000_000 + 900_000
+
+
+def test_one_that_has_longer_does_not_hold_up_those_behind_it_beyond_their_time() -> None:
+    with side() as s:
+        client, _ = s.client()
+        client.data_received(request("1", "9000m"))
+        client.data_received(request("2", "5000m") + request("3", "400m"))
+        assert s.node.hastened == [(s.node.taken[0], 6_000_000), (s.node.taken[0], 1_400_000)]
+        s.answer(client)
+        s.node.loop.run()
+        assert s.node.taken[1].deadline == 1_400_000
+        s.answer(client)
+        s.node.loop.run()
+        assert s.node.taken[2].deadline == 1_400_000
+
+
+def test_what_lay_unread_counts_from_when_reading_ended(monkeypatch: pytest.MonkeyPatch) -> None:
+    with side() as s:
+        now = 1_000_000
+        monkeypatch.setattr(clients, "now_us", lambda: now)
+        client, transport = s.client()
+        client.data_received(b"".join(request(str(i)) for i in range(READ_AHEAD + 2)))
+        transport.there.sendall(request("late"))  # at some time during the pause
+        for _ in range(READ_AHEAD + 1):
+            now += 50_000
+            s.node.now = now
+            s.answer(client)
+            s.node.loop.run()
+        assert not transport.paused
+        client.data_received(transport.here.recv(4096))
+        assert client.queue[-1].came == 1_000_000  # type: ignore[union-attr]
+        client.data_received(request("new"))
+        assert client.queue[-1].came == now  # type: ignore[union-attr]
+
+
+def test_nothing_that_lay_unread_leaves_no_trace_on_what_comes_later(monkeypatch: pytest.MonkeyPatch) -> None:
+    with side() as s:
+        client, _ = s.client()
+        client.data_received(b"".join(request(str(i)) for i in range(READ_AHEAD + 2)))
+        for _ in range(READ_AHEAD + 1):
+            s.answer(client)
+            s.node.loop.run()
+        s.node.now = 5_000_000
+        client.data_received(request("new"))
+        assert client.queue[-1].came == 5_000_000  # type: ignore[union-attr]
+
+
+# ---------------------------------------------------------------- long answers
+
+
+def test_while_a_long_answer_goes_out_what_comes_stays_unread() -> None:
+    """Its connection may have to be broken off: a request that was read by then had no answer."""
+    with side() as s:
+        client, transport = s.client()
+        client.data_received(request("1"))
+        assert not client.followed()
+        client.stream_begin(SOURCE, -1, b"")
+        assert transport.paused
+        client.stream_end(True)
+        assert not transport.paused and client in s.server.idle
+        client.data_received(request("2") + request("3"))
+        assert client.followed()
+
+
+def test_a_client_that_leaves_during_a_long_answer_is_noticed_though_it_is_not_read() -> None:
+    with side() as s:
+        client, transport = s.client()
+        client.data_received(request("1"))
+        client.stream_begin(SOURCE, -1, b"")
+        s.server.look(now_us())
+        assert not transport.aborted
+        transport.there.close()
+        s.server.look(now_us())
+        assert transport.aborted
+
+
+def test_a_long_answer_with_a_request_behind_it_that_breaks_takes_no_request_along() -> None:
+    """The first was passed on in parts and broken off, and the second, which had been read, had no answer."""
+    def script(sock, n):  # type: ignore[no-untyped-def]
+        if n == 1:
+            sock.sendall(b"HTTP/1.1 200 X\r\nContent-Length: 200000\r\n\r\n" + bytes(150_000))
+            return False
+        sock.sendall(answer())
+        return None
+
+    with running(script) as node:
+        client = node.client()
+        client.send(client.head("crew") + client.head("crew"))
+        assert [client.read().status, client.read().status] == [502, 200]
+
+
+def test_a_long_answer_with_a_request_behind_it_arrives_whole() -> None:
+    with running(lambda s, n: s.sendall(answer(200, bytes(300_000)))) as node:
+        client = node.client()
+        client.send(client.head() + client.head())
+        assert [len(client.read().body), len(client.read().body)] == [300_000, 300_000]
+
+
+# ---------------------------------------------------------------- descriptors run out
+
+
+def test_for_a_newcomer_none_is_closed_that_has_just_sent_a_request() -> None:
+    with side(most=2) as s:
+        (oldest, first), (_, second) = s.client(), s.client()
+        first.there.sendall(request("1"))
+        s.client()
+        assert not first.closed and second.closed
+        assert oldest in s.server.idle
+
+
+def test_none_that_is_owed_an_answer_goes_when_descriptors_are_out() -> None:
+    with side(most=1, spare=1) as s:
+        waiting, first = s.client()
+        waiting.data_received(request("1") + request("2"))
+        s.answer(waiting)  # between two that wait
+        half, second = s.client()
+        half.data_received(request("3")[:30])
+        _, third = s.client()
+        assert not first.aborted and not second.aborted and third.aborted
+
+
+def test_a_resting_connection_is_forgotten_only_when_its_answer_has_gone_out() -> None:
+    """A process that ended meanwhile cut the answer off."""
+    with side() as s:
+        client, transport = s.client()
+        client.data_received(request("1"))
+        s.answer(client)
+        transport.unsent = 100_000
+        s.server.close_idle()
+        assert transport.closed and client in s.server.clients and client not in s.server.idle
+        client.connection_lost(None)
+        assert client not in s.server.clients
+
+
+# ---------------------------------------------------------------- clients that stop in the middle
+
+
+@pytest.mark.parametrize("begun", [
+    b"GET /api/x HTTP/1.1\r\nHost: x\r\nX-Ca",
+    b"POST /api/x HTTP/1.1\r\nHost: x\r\nX-Call-Id: s\r\nX-Call-Class: crew\r\nX-Budget: 9000m\r\n"
+    b"Content-Length: 10\r\n\r\nabc",
+])
+def test_a_client_that_stops_within_a_request_and_stays_has_its_error_in_three_seconds(begun: bytes) -> None:
+    with running(None) as node:
+        client = node.client()
+        assert client.ask().status == 200
+        began = time.monotonic()
+        client.send(begun)
+        assert client.read().status == 408
+        assert time.monotonic() - began < 3.5  # 3 s are owed; the rest is a busy machine's
+        assert client.ended()
+        assert len(node.backends[0].requests) == 1
+
+
+def test_one_that_stops_behind_a_request_that_is_being_answered_has_its_error_after_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    with side() as s:
+        now = 1_000_000
+        monkeypatch.setattr(clients, "now_us", lambda: now)
+        client, transport = s.client()
+        client.data_received(request("1") + request("2")[:40])
+        now += clients.STOPPED_US
+        s.server.look(now)
+        assert client.reading
+        now += 1
+        s.server.look(now)
+        assert not client.reading and not transport.written
+        s.answer(client)
+        s.node.loop.run()
+        assert transport.statuses() == [200, 408] and transport.ended
+
+
+def test_bytes_now_and_then_are_no_stop(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A head may take 2 s, and its client may rest all that while."""
+    with side() as s:
+        now = 1_000_000
+        monkeypatch.setattr(clients, "now_us", lambda: now)
+        client, _ = s.client()
+        whole = request("1")
+        for i in range(0, len(whole), 40):
+            client.data_received(whole[i:i + 40])
+            now += 2_000_000
+            s.server.look(now)
+        assert s.node.ids() == [b"1"]
+
+
+def test_one_that_waits_for_continue_behind_another_is_told_to_go_on_in_its_turn() -> None:
+    with side() as s:
+        client, transport = s.client()
+        head = request("2").replace(b"GET", b"POST").replace(b"look", b"crew")[:-2]
+        client.data_received(request("1") + head + b"Content-Length: 2\r\nExpect: 100-continue\r\n\r\n")
+        s.server.look(now_us() + 10 * clients.STOPPED_US)
+        assert client.reading and not transport.written
+        s.answer(client)
+        s.node.loop.run()
+        assert transport.written.endswith(b"HTTP/1.1 100 Continue\r\n\r\n")
+        client.data_received(b"ab")
+        assert s.node.ids() == [b"1", b"2"]
+
+
+def test_during_shutdown_one_that_has_stopped_is_answered_or_closed_too() -> None:
+    with running(None) as node:
+        client = node.client()
+        client.send(b"GET /api/x HTTP/1.1\r\nHost: x\r\nX-Ca")
+        client.arrived()
+        began = time.monotonic()
+        node.process.terminate()
+        assert client.read().status == 408
+        assert time.monotonic() - began < 3.5
+        assert wait_for(lambda: node.process.poll() is not None) and node.process.returncode == 0
