Check an attempt again in the moment in which it is written

Excluded: outcomes taken wrongly for "never ran" (no attempt that had been written ended as could-not-connect or moot). That the failing request went this way is inferred, not seen.

Lines: `decide.may_send` (no margin), `Backends._connect` and `keep` (only `request.live` was asked of those that wait).

Change: `Send.start_by_us` tells the latest write, 150 ms before the window ends (half of a shorter one); `Backends._fit` asks at each write whether the client is there, time is left, the window and the drain's grace hold, and that what waited for a cold server is not one burst.

Result: 14 tests with the time and the order of events driven by hand; each condition taken out is caught.

--- a/headspar/connections/waiters.py
+++ b/headspar/connections/waiters.py
@@ -9,33 +9,26 @@
 from headspar.connections.plan import Plan
 
 
-class Asked(Protocol):
-    """The request behind an attempt: whether it is still owed an answer."""
-
-    live: bool
-
-
 class Waiter(Protocol):
     """An attempt, as far as waiting goes."""
 
     ended: bool
     sent_at: int
 
-    @property
-    def request(self) -> Asked: ...
-
 
 W = TypeVar("W", bound=Waiter)
 
 
 class Waiters(Generic[W]):
-    """``moot(attempt)`` ends one that will get no connection: it never ran, and may go elsewhere.  ``making``:
-    connections that are being made, the attempts' and spares."""
+    """``fit(attempt)``: whether one may still be sent now.  ``moot(attempt)`` ends one that will get no connection:
+    it never ran, and may go elsewhere.  ``making``: connections that are being made, the attempts' and spares."""
 
-    __slots__ = ("server", "plan", "moot", "line", "making")
+    __slots__ = ("server", "plan", "fit", "moot", "line", "making")
 
-    def __init__(self, server: str, plan: Plan, moot: Callable[[W], None]) -> None:
-        self.server, self.plan, self.moot = server, plan, moot
+    def __init__(
+        self, server: str, plan: Plan, fit: Callable[[W], bool], moot: Callable[[W], None]
+    ) -> None:
+        self.server, self.plan, self.fit, self.moot = server, plan, fit, moot
         self.line: deque[W] = deque()
         self.making = 0
 
@@ -46,7 +39,7 @@
             self.plan.waits_no_more(self.server)
             if attempt.ended:
                 continue
-            if attempt.request.live:
+            if self.fit(attempt):
                 return attempt
             self.moot(attempt)
         return None
--- a/headspar/decide.py
+++ b/headspar/decide.py
@@ -120,6 +120,7 @@
 HOME_MARGIN = 1.5
 HOME_KEYS = 10_000  # keys whose homes are remembered
 COLD_HEAVY = 0.1
+WINDOW_MARGIN_US = 150_000  # of the time for repeats: a node may be held up so long between its clock and its write
 KNOWN = 20  # answers, from which the work of a typical request is known
 TRIAL_US = (1_000_000, 8_000_000)  # pause between trials of a suspect: first, longest
 LOG_EVERY_US = 10_000_000  # at most one line of reasons in this time
@@ -194,17 +195,27 @@
         self.in_flight = True
 
 
+def repeat_by(cls: RequestClass, attempts: Iterable[Attempt]) -> int:
+    """The latest that another attempt may be written; 0 where the class or what has gone before sets no limit."""
+    if cls.effect is not Effect.DEDUP:
+        return 0
+    margin = min(WINDOW_MARGIN_US, cls.window_us // 2)
+    return min((a.sent_at + cls.window_us - margin for a in attempts if a.may_have_run), default=0)
+
+
 def may_send(
     cls: RequestClass, attempts: list[Attempt], zone: str, cell: int, now: int, limit: int, copies: bool
 ) -> bool:
     if len(attempts) >= limit:
         return False
+    if 0 < repeat_by(cls, attempts) <= now:
+        return False
     for a in attempts:
         if a.in_flight and not copies:
             return False
         if not a.may_have_run or cls.effect is Effect.RETRYABLE:
             continue
-        if cls.effect is Effect.FRAGILE or now >= a.sent_at + cls.window_us:
+        if cls.effect is Effect.FRAGILE:
             return False
         if cls.group is Group.ZONE and a.zone != zone:
             return False
@@ -1070,10 +1081,11 @@
         self._send(r, b, now)
 
     def _send(self, r: Request, b: Backend, now: int) -> None:
+        by = repeat_by(r.cls.spec, r.attempts)
         r.attempts.append(Attempt(b, now))
         self.attempts += 1
         self.capacity.send(b, r.cost)
-        self.actions.append(Send(r.id, b.id))
+        self.actions.append(Send(r.id, b.id, start_by_us=by))
         if r.cls.repeatable and len(r.attempts) < r.limit:
             wait = (1.5 if b.health < 0.6 else OVERDUE) * r.expect
             self._later(r, min(now + int(wait), r.deadline))
--- a/headspar/interface.py
+++ b/headspar/interface.py
@@ -323,6 +323,7 @@
     id: str
     backend: str
     stop_at_us: int = 0  # 0: at the client's deadline
+    start_by_us: int = 0  # not to be written later, as repeats are no longer dropped then; 0: at any time
 
 
 @dataclass(slots=True)
--- a/headspar/model/node.py
+++ b/headspar/model/node.py
@@ -68,10 +68,11 @@
 class Attempt:
     """One send to one server."""
 
-    __slots__ = ("request", "number", "backend", "sent_at", "ended", "conn", "call")
+    __slots__ = ("request", "number", "backend", "sent_at", "start_by", "ended", "conn", "call")
 
-    def __init__(self, request: Request, number: int, backend: str, now: int) -> None:
+    def __init__(self, request: Request, number: int, backend: str, now: int, start_by: int) -> None:
         self.request, self.number, self.backend, self.sent_at = request, number, backend, now
+        self.start_by = start_by  # the latest that it may be written; 0: at any time
         self.ended = False
         self.conn: Connection | None = None
         self.call = request.t.index
@@ -261,12 +262,16 @@
 
     # ------------------------------------------------------------ attempts
 
+    def _fit(self, attempt: Attempt) -> bool:
+        """Whether an attempt that waited for a connection may still be written."""
+        return attempt.request.live and not 0 < attempt.start_by <= self.events.now
+
     def _send(self, action: Send) -> None:
         r = self.requests.get(action.id)
         if r is None:
             return
         now = self.events.now
-        attempt = Attempt(r, len(r.attempts), action.backend, now)
+        attempt = Attempt(r, len(r.attempts), action.backend, now, action.start_by_us)
         r.attempts.append(attempt)
         r.out += 1
         host = self.hosts.get(action.backend)
@@ -459,7 +464,7 @@
             host = self.hosts.get(e.backend)
             if host is None or e.started_at_us > host.started_at:
                 self._remove(e.backend)
-                waiters = Waiters(e.backend, self.plan, self._moot)
+                waiters = Waiters(e.backend, self.plan, self._fit, self._moot)
                 self.hosts[e.backend] = Host(e.backend, self.servers[e.backend], e.started_at_us, waiters)
                 self.plan.place(e.backend, now)
                 self.plan.warmth(e.backend, self.settings.warm_share(e.started_at_us, now))
--- a/headspar/node/backends.py
+++ b/headspar/node/backends.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import select
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import Any, cast
 
 import httptools
@@ -24,6 +24,8 @@
 MAX_BODY = 32 * 1024 * 1024
 MAX_HEAD = 64 * 1024
 STREAM_STALL_US = 3_000_000
+DRAIN_MARGIN_US = 200_000  # of the drains' grace: a node may be held up between its clock and its write
+COLD_WAIT = 4  # attempts wait for a connection to a cold backend for a fourth of its window, no longer
 
 
 class Budget:
@@ -90,9 +92,9 @@
         self.report: dict[str, float] | None = None
         self.content_type = b""
         self.body: list[bytes] = []
+        self.kept = 0  # bytes of the body that count in the budget
 
     # ------------------------------------------------------------ its life
-        self.kept = 0  # bytes of the body that count in the budget
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -130,10 +132,10 @@
     def release(self) -> None:
         """The attempt has ended: keep the connection if its answer was whole and in order, else close it."""
         self.attempt = None
-        transport = self.transport
-        if transport is None:
         self.pool.budget.give_back(self.kept)
         self.kept = 0
+        transport = self.transport
+        if transport is None:
             return
         if not self.closed:
             if self.complete and not self.unsent and not self.surplus and self.keep:
@@ -251,8 +253,6 @@
             client = attempt.request.client if attempt is not None else None
             if attempt is None or self.size > MAX_BODY:
                 return
-            if client is None or not self.pool.node.stream_started(attempt):
-                self.body.clear()  # nobody waits for it any more; the module calls it off
             if client is not None and client.followed():
                 # It is held whole: a long answer that breaks on its way ends the connection, and what waits
                 # behind it would have no answer.
@@ -261,6 +261,8 @@
                     return
                 self.kept += len(data)
                 return
+            if client is None or not self.pool.node.stream_started(attempt):
+                self.body.clear()  # nobody waits for it any more; the module calls it off
                 return
             self.streaming = True
             client.stream_begin(self, self.length, self.content_type)
@@ -325,6 +327,7 @@
     def __init__(self, node: Node, most: int, budget: Budget, file: ConnectionsTable) -> None:
         self.node, self.most, self.budget = node, most, budget
         self.hosts: dict[str, Host] = {}
+        self.draining: Mapping[str, int] = {}  # since when this node has been told so
         self.young: set[Host] = set()  # those that may be cold
         self.connections: dict[int, Connection] = {}  # by the plan's numbers
         self.tasks: set[asyncio.Task[None]] = set()
@@ -341,7 +344,7 @@
         host = self.hosts.get(id)
         if host is None or host.address != address or started_at > host.started_at:
             self.remove(id)
-            host = self.hosts[id] = Host(id, address, started_at, Waiters(id, self.plan, self._moot))
+            host = self.hosts[id] = Host(id, address, started_at, Waiters(id, self.plan, self._fit, self._moot))
             self.plan.place(id, now_us())
             self.plan.warmth(id, self.node.settings.warm_share(started_at, now_us()))
             if started_at:
@@ -368,7 +371,28 @@
             return
         self._take(host, attempt, now_us())
 
+    def _fit(self, attempt: Attempt) -> bool:
+        """Whether an attempt may still be written, asked in the moment in which it would be.  It may have waited
+        for a connection since it was decided, and the client's end may not have been read yet."""
+        r, now = attempt.request, now_us()
+        if not r.live or now >= r.deadline or 0 < attempt.start_by <= now:
+            return False
+        grace = self.node.settings.drain_grace_us
+        since = self.draining.get(attempt.backend)
+        if since is not None and now - since >= grace - min(DRAIN_MARGIN_US, grace // 2):
+            return False
+        host = self.hosts.get(attempt.backend)
+        if host in self.young and now - attempt.sent_at > self.node.settings.fall_us // COLD_WAIT:
+            return False  # those that waited for one late connection would be one burst
+        if r.client is not None and not r.client.present():
+            r.client.leave()
+            return False
+        return True
+
     def _take(self, host: Host, attempt: Attempt, now: int) -> None:
+        if not self._fit(attempt):
+            self.node.end(attempt, Outcome.MOOT)
+            return
         proof = attempt.request.proof
         while True:
             told = self.plan.take(host.id, now, proof=proof)
--- a/headspar/node/core.py
+++ b/headspar/node/core.py
@@ -105,10 +105,11 @@
 class Attempt:
     """One send of a request to one backend."""
 
-    __slots__ = ("request", "number", "backend", "sent_at", "first_at", "ended", "conn")
+    __slots__ = ("request", "number", "backend", "sent_at", "start_by", "first_at", "ended", "conn")
 
-    def __init__(self, request: Request, number: int, backend: str, now: int) -> None:
+    def __init__(self, request: Request, number: int, backend: str, now: int, start_by: int = 0) -> None:
         self.request, self.number, self.backend, self.sent_at = request, number, backend, now
+        self.start_by = start_by  # the latest that it may be written; 0: at any time
         self.first_at = 0
         self.ended = False
         self.conn: Connection | None = None
@@ -367,7 +368,7 @@
         r = self.requests.get(action.id)
         if r is None:
             return
-        attempt = Attempt(r, len(r.attempts), action.backend, now)
+        attempt = Attempt(r, len(r.attempts), action.backend, now, action.start_by_us)
         r.attempts.append(attempt)
         r.out += 1
         if not r.live or now >= r.deadline or attempt.number >= r.limit:
@@ -493,6 +494,7 @@
         event, out_of_reach = self.reach.told(event, now_us())
         self.post(event)
         self.backends.let_go(out_of_reach)
+        self.backends.draining = self.reach.draining
 
     def move_reach(self, now: int) -> None:
         """The host calls it now and then: the reach moves a step if one is due."""
--- a/tests/connections/test_waiters.py
+++ b/tests/connections/test_waiters.py
@@ -25,7 +25,7 @@
     plan = Plan(PlanSettings(10, 1_000_000, making=1), 1)
     plan.place("s", 0)
     moot: list[Attempt] = []
-    waiters: Waiters[Attempt] = Waiters("s", plan, moot.append)
+    waiters: Waiters[Attempt] = Waiters("s", plan, lambda a: a.request.live, moot.append)
     attempts = [Attempt(sent_at=100 * i) for i in range(count)]
     for attempt in attempts:
         plan.take("s", 0, proof=False)
--- /dev/null
+++ b/tests/node/test_checks_at_the_write.py
@@ -0,0 +1,215 @@
+"""An attempt that waited for a connection is checked again in the moment in which it would be written."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Callable
+from types import SimpleNamespace
+from typing import Any, cast
+
+import pytest
+
+from headspar import decide
+from headspar.interface import AttemptEnded, Outcome, RequestArrived, RequestClass, Send
+from headspar.node import backends
+from headspar.node.core import Attempt, Request
+from tests.connections.test_socket_side import Core, Server, run, serving, until
+from tests.helpers import PAY, full, settings
+from tests.test_mechanism import tried
+
+S = 1_000_000
+
+
+class Clock:
+    """The time that the socket side reads."""
+
+    def __init__(self) -> None:
+        self.now = 100 * S
+
+    def __call__(self) -> int:
+        return self.now
+
+
+class Held:
+    """Connections come up only when they are let."""
+
+    def __init__(self, c: Core) -> None:
+        self.up = asyncio.Event()
+        real = c.loop.create_connection
+
+        async def create(*args: Any, **kw: Any) -> Any:
+            await self.up.wait()
+            return await real(*args, **kw)
+
+        c.loop.create_connection = create  # type: ignore[method-assign]
+        c.backends.connect_timeout = 10.0
+
+
+@contextlib.asynccontextmanager
+async def waiting(monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[tuple[Core, list[Server], Clock, Held]]:
+    """A socket side before one server to which no connection comes up yet."""
+    clock = Clock()
+    monkeypatch.setattr(backends, "now_us", clock)
+    async with serving() as (c, made):
+        yield c, made, clock, Held(c)
+
+
+def attempt(c: Core, clock: Clock, **changes: Any) -> Attempt:
+    r = Request(cast(Any, None))
+    r.head, r.call_id, r.cls, r.live = b"GET / HTTP/1.1\r\nHost: ", b"x", "crew", True
+    r.deadline = clock.now + 9 * S
+    made = Attempt(r, 0, "s", clock.now)
+    for name, value in changes.items():
+        setattr(made if name == "start_by" else r, name, value)
+    c.backends.start(made)
+    return made
+
+
+class Client:
+    """The client of a request, here or gone without a word."""
+
+    def __init__(self) -> None:
+        self.here, self.asked = True, 0
+
+    def present(self) -> bool:
+        self.asked += 1
+        return self.here
+
+    def leave(self) -> None:
+        self.left = True
+
+
+def client_left(c: Core, one: Attempt, clock: Clock) -> None:
+    cast(Any, one.request.client).here = False
+
+
+def time_is_up(c: Core, one: Attempt, clock: Clock) -> None:
+    clock.now = one.request.deadline
+
+
+def repeats_run_again(c: Core, one: Attempt, clock: Clock) -> None:
+    clock.now = one.start_by
+
+
+def drain_is_due(c: Core, one: Attempt, clock: Clock) -> None:
+    c.backends.draining = {"s": clock.now}
+    clock.now += c.settings.drain_grace_us - backends.DRAIN_MARGIN_US
+
+
+@pytest.mark.parametrize("meanwhile", [client_left, time_is_up, repeats_run_again, drain_is_due])
+def test_what_may_go_no_more_when_its_connection_comes_up_never_goes(
+    monkeypatch: pytest.MonkeyPatch, meanwhile: Callable[[Core, Attempt, Clock], None],
+) -> None:
+    async def whole() -> None:
+        async with waiting(monkeypatch) as (c, made, clock, held):
+            one = attempt(c, clock, client=Client(), start_by=clock.now + S)
+            assert not one.ended
+            meanwhile(c, one, clock)
+            held.up.set()
+            await until(lambda: one.ended)
+            assert c.outcomes() == [Outcome.MOOT]
+            await until(lambda: made)
+            await asyncio.sleep(0.02)
+            assert made[0].requests == 0
+            c.consistent()
+
+    run(whole())
+
+
+@pytest.mark.parametrize("meanwhile", [client_left, time_is_up, repeats_run_again, drain_is_due])
+def test_nor_does_it_take_the_place_of_one_that_may(
+    monkeypatch: pytest.MonkeyPatch, meanwhile: Callable[[Core, Attempt, Clock], None],
+) -> None:
+    """On a connection that another answer has freed."""
+    async def whole() -> None:
+        async with serving() as (c, made):
+            clock = Clock()
+            monkeypatch.setattr(backends, "now_us", clock)
+            first = attempt(c, clock)
+            await until(lambda: made and made[0].requests)
+            Held(c)
+            one = attempt(c, clock, client=Client(), start_by=clock.now + S)
+            meanwhile(c, one, clock)
+            made[0].answer()
+            await until(lambda: first.ended and one.ended)
+            assert {first: Outcome.OK, one: Outcome.MOOT} == dict(c.ends) and made[0].requests == 1
+
+    run(whole())
+
+
+def test_what_may_still_go_goes(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def whole() -> None:
+        async with waiting(monkeypatch) as (c, made, clock, held):
+            client = Client()
+            one = attempt(c, clock, client=client, start_by=clock.now + S)
+            c.backends.draining = {"s": clock.now}
+            clock.now += c.settings.drain_grace_us - backends.DRAIN_MARGIN_US - 1
+            held.up.set()
+            await until(lambda: made and made[0].requests)
+            assert client.asked >= 2 and not one.ended
+
+    run(whole())
+
+
+def test_what_waited_for_a_cold_server_does_not_come_as_one_burst(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The budget is spent when attempts are decided, one by one; a late connection would let all go at once."""
+    async def whole() -> None:
+        async with waiting(monkeypatch) as (c, made, clock, held):
+            c.backends.place("s", c.backends.hosts["s"].address, clock.now)
+            c.backends.plan.warmth("s", 1.0)  # so that many may wait
+            spread = c.settings.fall_us // 10
+            waits = []
+            for _ in range(10):
+                waits.append(attempt(c, clock))
+                clock.now += spread
+            held.up.set()
+            await until(lambda: made and made[0].requests)
+            old = [one for one in waits if clock.now - one.sent_at > c.settings.fall_us // backends.COLD_WAIT]
+            assert len(old) == 8
+            await until(lambda: all(one.ended for one in old))
+            assert set(c.outcomes()) == {Outcome.MOOT} and len(c.ends) == len(old)
+
+    run(whole())
+
+
+# ---------------------------------------------------------------- the time in which repeats are dropped
+
+
+def test_a_repeat_is_decided_only_while_a_held_up_write_would_still_be_in_time() -> None:
+    latest = PAY.window_us - decide.WINDOW_MARGIN_US
+    assert decide.may_send(PAY, [tried()], "a", 0, latest - 1, 3, False)
+    assert not decide.may_send(PAY, [tried()], "a", 0, latest, 3, False)
+    assert decide.may_send(PAY, [tried(ran=False)], "a", 0, latest, 3, False)
+
+
+def test_a_short_window_keeps_half_of_it() -> None:
+    cls = RequestClass(**{**{f: getattr(PAY, f) for f in PAY.__slots__}, "window_us": 100_000})
+    assert decide.may_send(cls, [tried()], "a", 0, 49_999, 3, False)
+    assert not decide.may_send(cls, [tried()], "a", 0, 50_000, 3, False)
+
+
+def test_a_repeat_carries_the_latest_time_at_which_it_may_be_written() -> None:
+    """Counted from the earliest attempt that may have run; the first attempt has none."""
+    balancer = decide.Balancer(settings(), 1)
+    balancer.handle(0, [full(12)])
+    actions = balancer.handle(S, [RequestArrived("r", "pay", 3 * S, 10_000)])
+    first = next(a for a in actions if isinstance(a, Send))
+    assert first.start_by_us == 0
+    after = balancer.handle(S + 50_000, [AttemptEnded("r", 0, first.backend, Outcome.RESET, 50_000, False)])
+    again = next(a for a in after if isinstance(a, Send))
+    assert again.start_by_us == S + PAY.window_us - decide.WINDOW_MARGIN_US
+
+
+def test_the_socket_side_hears_of_drains_as_they_are_told() -> None:
+    """Also of a whole list, which begins the table of drains anew."""
+    from headspar.interface import BackendList, Health, ListKind
+    from headspar.node import core
+    from tests.helpers import entry
+
+    event = BackendList(ListKind.FULL, 2, [entry(1, Health.DRAINING)])
+    reach = SimpleNamespace(told=lambda e, now: (e, []), draining={"10.0.0.1:80": 5})
+    side = SimpleNamespace(draining={}, let_go=lambda ids: None)
+    node = SimpleNamespace(reach=reach, backends=side, post=lambda e: None)
+    core.Node.told(cast(Any, node), event)
+    assert side.draining is reach.draining
