Answer what crosses the end of a process, and note SIGHUP from its start on

Causes, from reading, each confirmed by a test: a request read after `node.cut()` had a deadline beyond the process's end and no answer; the listener closed over connections that the system had accepted, which were reset with what had come on them; SIGHUP before its handler stood ended the process.

Change: after the cut what comes is refused at once; the system's queue is emptied into the node before the listener's socket goes; SIGHUP is noted from the first import on and acted on once all parts stand. A configuration half written when it is read is turned down whole (as before, now tested), and the next SIGHUP takes it. SIGTERM twice, SIGHUP during SIGTERM and in a row: ruled out, nothing ends early.

--- a/headspar/__main__.py
+++ b/headspar/__main__.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from headspar import early_signals  # isort: split
+
 import os
 import resource
 import sys
@@ -32,7 +34,7 @@
         say("headspar: no hand-over to be had, and none other wanted")
         return NO_HANDOVER
     try:
-        uvloop.run(serve(config, taken))
+        uvloop.run(serve(config, taken, early_signals.reload_wanted))
     except ConfigError as error:
         say(f"headspar: {error}")
         return 2
--- a/headspar/node/core.py
+++ b/headspar/node/core.py
@@ -139,8 +139,8 @@
         self.timer_at = 0
         self.standstill = Standstill(now_us())
         self.lists_first = False  # a standstill has just ended
-        self.recorder: Recorder | None = None
         self.closing = False  # the process ends soon: what still comes is refused
+        self.recorder: Recorder | None = None
         self.recorded_at = 0
         self.log_from, self.log_count = 0, 0
         self.actions = {
@@ -232,7 +232,6 @@
 
     # ------------------------------------------------------------ a request's life
 
-    def arrived(self, r: Request) -> None:
     def came(self) -> int:
         """When what is read now came, at the earliest."""
         return self.standstill.came(self._look())
@@ -242,8 +241,9 @@
         s = self.settings
         return min(s.max_retry_after_us, DOOR_RETRY_US) if s.retry_after else 0
 
-        now = self._look()
+    def arrived(self, r: Request) -> None:
         """A whole request; ``r.deadline`` counts from when it was whole, however long it waited behind others."""
+        now = self._look()
         self.ledger.took()
         if self.closing or len(self.requests) >= self.most_held:
             self.answer(r, 503, self.retry_after())
@@ -262,13 +262,13 @@
             RequestArrived(r.key, r.cls, r.deadline, r.hint_us, r.target_key, r.tenant, r.is_repeat)
         )
 
-    def turned_away(self, r: Request) -> None:
     def hasten(self, r: Request, deadline: int) -> None:
         """Another request waits for the answer to this one, and has less time left."""
         if r.live and deadline < r.deadline:
             r.deadline = deadline
             self._at(deadline, DEADLINE, 0, r.key)
 
+    def turned_away(self, r: Request) -> None:
         """A request that the door has refused with 503: taken and ended at once."""
         self.ledger.took()
         self.ledger.answered(r.cls, 503)
@@ -462,7 +462,9 @@
             self._arm(due[0][0])
 
     def cut(self) -> None:
-        """The process ends before the deadlines of these requests: each gets its final answer now."""
+        """The process ends before the deadlines of these requests: each gets its final answer now, and so does
+        each that is still read."""
+        self.closing = True
         for r in [r for r in self.requests.values() if r.live]:
             for attempt in r.attempts[:]:
                 self.end(attempt, Outcome.CANCELLED)
@@ -492,9 +494,9 @@
 
     def told(self, event: BackendList) -> None:
         event, out_of_reach = self.reach.told(event, now_us())
+        self.backends.draining = self.reach.draining
         self.post(event)
         self.backends.let_go(out_of_reach)
-        self.backends.draining = self.reach.draining
 
     def move_reach(self, now: int) -> None:
         """The host calls it now and then: the reach moves a step if one is due."""
--- a/headspar/process.py
+++ b/headspar/process.py
@@ -9,7 +9,7 @@
 import socket
 import sys
 import time
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine, Iterator
 from dataclasses import replace
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
@@ -44,6 +44,8 @@
 ACCEPT_S = 0.55  # after SIGTERM new connections go on coming for up to 0.4 s
 LONGEST_S = 3.0  # what SIGKILL waits for of the longest deadline, at the most
 END_S = 0.55  # beyond it; SIGKILL comes 0.7 s beyond
+CUT_S = 0.15  # before the end all that is open is answered
+ADOPT = 1024  # connections that the system has accepted, taken out of its queue when the listener closes
 SWEEP_S = 1.0
 TEND_S = 0.2
 BACKLOG = 4096
@@ -102,13 +104,12 @@
 
     # ------------------------------------------------------------ start
 
-    async def start(self) -> None:
-        """Serve: on the sockets of the process before this one where it has offered them."""
+    async def start(self, reload_wanted: Callable[[], bool] = lambda: False) -> None:
+        """Serve: on the sockets of the process before this one where it has offered them.  ``reload_wanted``:
+        whether SIGHUP has come before its handler stands here."""
         config, node, loop, taken = self.config, self.node, self.loop, self.taken
         loop.add_signal_handler(signal.SIGTERM, self.stopping.set)
         loop.add_signal_handler(signal.SIGINT, self.stopping.set)
-        # Without a handler SIGHUP ends the process, and with it all requests that it has taken.
-        loop.add_signal_handler(signal.SIGHUP, self.reload)
         self.socket = taken.listener if taken else bound(config.listen)
         if config.peer_listen and config.peers_all and config.settings.may_tell_peers:
             self.peers_socket = taken.peers if taken and taken.peers else bound(config.peer_listen, socket.SOCK_DGRAM)
@@ -144,6 +145,10 @@
         self._tend()
         if self.keeping is not None:
             self.keeping.begin()
+        # Until here SIGHUP is noted alone (``early_signals``): a reload needs all parts.
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        if reload_wanted():
+            self.reload()
         gc.collect()
         gc.freeze()
 
@@ -205,6 +210,7 @@
     def _tend(self) -> None:
         self.node.beat()
         self.node.backends.tend(now_us())
+        self.server.look(now_us())
         self.loop.call_later(TEND_S, self._tend)
 
     # ------------------------------------------------------------ SIGHUP
@@ -321,6 +327,14 @@
 
     # ------------------------------------------------------------ the end
 
+    def _listen_no_more(self, listening: asyncio.Server) -> None:
+        """Close the listener.  What stands in its queue then would be reset, with requests that have come."""
+        listening.close()
+        self.listening = None
+        for sock in accepted(self.socket, ADOPT):
+            self._spawn(self._serve(sock))
+        self.socket.close()
+
     async def end(self) -> None:
         """Answer all that was taken.  Alone, each answer closes its connection, idle ones are closed once no new
         connections come, then the listener, which by then has nothing left to accept.  With a successor they go
@@ -329,19 +343,15 @@
         since = loop.time()
         node.lifecycle.move(Cause.TERM)
         last = since + END_S + min(LONGEST_S, max(c.deadline_us for c in node.settings.classes) / 1e6)
-        cut = False
         while loop.time() < last:
             handed = node.lifecycle.hands_over
             if not handed and loop.time() - since > ACCEPT_S:
                 if self.listening is not None:
-                    self.listening.close()
-                    self.listening = None
-                    self.socket.close()
+                    self._listen_no_more(self.listening)
                 server.close_idle()
-            if not server.clients and (handed or self.listening is None):
+            if not server.clients and not self.tasks and (handed or self.listening is None):
                 break
-            if not cut and last - loop.time() < 0.15:
-                cut = True
+            if not node.closing and last - loop.time() < CUT_S:
                 node.cut()
             await asyncio.sleep(0.02)
         if self.giver is not None:
@@ -354,6 +364,19 @@
             self.keeping.end()
 
 
+def accepted(listener: socket.socket, most: int) -> Iterator[socket.socket]:
+    """Connections that the system has accepted for a listener and nobody has taken yet."""
+    for _ in range(most):
+        try:
+            sock, _ = listener.accept()
+        except (ConnectionAbortedError, InterruptedError):
+            continue
+        except OSError:
+            return
+        sock.setblocking(False)
+        yield sock
+
+
 def keeping(config: Config, node: Node) -> Keeping | None:
     """What is kept on a disk, where the operator's file names a folder for it."""
     table = config.operator.snapshot
@@ -381,9 +404,9 @@
         raise ConfigError(f"recorder.file: {path}: {error.strerror}") from None
 
 
-async def serve(config: Config, taken: Taken | None) -> None:
+async def serve(config: Config, taken: Taken | None, reload_wanted: Callable[[], bool]) -> None:
     """One node, until SIGTERM and what follows it."""
     process = Process(config, taken, asyncio.get_running_loop())
-    await process.start()
+    await process.start(reload_wanted)
     await process.stopping.wait()
     await process.end()
--- /dev/null
+++ b/tests/node/test_ends.py
@@ -0,0 +1,230 @@
+"""The end of a process, and signals that come early: requests that cross them have their answer."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any, cast
+
+import pytest
+
+from headspar.node import core
+from headspar.process import Process, accepted
+from tests.loopback import PATIENCE, ROOT, Backend, Discovery, answer, free_address, running, text, wait_for
+from tests.test_due import fresh
+
+
+class Asker:
+    """The client of a request, which keeps how it was answered."""
+
+    def __init__(self) -> None:
+        self.answers: list[tuple[int, int]] = []
+
+    def refuse(self, r: core.Request, status: int, retry_after_us: int) -> None:
+        self.answers.append((status, retry_after_us))
+
+
+def asked(node: core.Node) -> tuple[core.Request, Asker]:
+    asker = Asker()
+    r = core.Request(cast(Any, asker))
+    r.cls, r.budget_us = "look", 1_000_000
+    r.came = node.came()
+    r.deadline = r.came + r.budget_us
+    node.arrived(r)
+    return r, asker
+
+
+@pytest.fixture
+def node(monkeypatch: pytest.MonkeyPatch) -> core.Node:
+    node, _, _ = fresh(monkeypatch)
+    node.backends = cast(Any, SimpleNamespace(repeatable=set(), budget=None))
+    return node
+
+
+def test_what_is_read_after_the_last_answers_were_given_is_refused_at_once(node: core.Node) -> None:
+    """It was taken, and the process ended before its deadline: no answer."""
+    _, before = asked(node)
+    node.cut()
+    assert before.answers == [(504, 0)]
+    _, after = asked(node)
+    assert after.answers == [(503, node.retry_after())]
+    assert not node.requests
+
+
+def test_what_the_node_refuses_itself_says_when_to_come_back(
+    node: core.Node, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    node.most_held = 0
+    monkeypatch.setattr(node.settings, "retry_after", True)
+    monkeypatch.setattr(node.settings, "max_retry_after_us", 400_000)
+    assert asked(node)[1].answers == [(503, 400_000)]
+    monkeypatch.setattr(node.settings, "retry_after", False)
+    assert asked(node)[1].answers == [(503, 0)]
+
+
+def test_a_request_whose_time_is_cut_by_one_behind_it_is_answered_by_then(
+    node: core.Node, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    r, asker = asked(node)
+    loop = cast(Any, node.loop)
+    node.hasten(r, loop.now + 300_000)
+    node.hasten(r, loop.now + 500_000)  # never more again
+    loop.run(loop.now + 299_000)
+    assert not asker.answers
+    loop.run(loop.now + 10_000)
+    assert asker.answers == [(504, 0)]
+
+
+def test_connections_in_the_systems_queue_are_served_when_the_listener_closes() -> None:
+    """They were reset, with the requests that had come on them."""
+    async def whole() -> None:
+        listener = socket.socket()
+        listener.bind(free_address())
+        listener.listen(8)
+        listener.setblocking(False)
+        clients = [socket.create_connection(listener.getsockname()) for _ in range(3)]
+        loop = asyncio.get_running_loop()
+        came: list[asyncio.BaseTransport] = []
+
+        class Taken(asyncio.Protocol):
+            def connection_made(self, transport: asyncio.BaseTransport) -> None:
+                came.append(transport)
+                cast(asyncio.Transport, transport).write(b"taken")
+
+        async def serve(sock: socket.socket) -> None:
+            await loop.connect_accepted_socket(Taken, sock)
+
+        tasks: list[asyncio.Task[None]] = []
+        closed: list[bool] = []
+        part = SimpleNamespace(socket=listener, listening=True, _serve=serve,
+                               _spawn=lambda work: tasks.append(loop.create_task(work)))
+        Process._listen_no_more(cast(Any, part), cast(Any, SimpleNamespace(close=lambda: closed.append(True))))
+        assert closed == [True] and part.listening is None and listener.fileno() == -1
+        await asyncio.gather(*tasks)
+        assert len(came) == 3
+        for client in clients:
+            client.settimeout(PATIENCE)
+            assert await asyncio.to_thread(client.recv, 100) == b"taken"
+            client.close()
+        for transport in came:
+            transport.close()
+        with pytest.raises(OSError):
+            socket.create_connection(("127.0.0.1", 1), 0.1)
+
+    asyncio.run(whole())
+
+
+def test_the_queue_is_emptied_past_a_connection_that_was_aborted_in_it() -> None:
+    class Queue:
+        def __init__(self, *what: Any) -> None:
+            self.what = list(what)
+
+        def accept(self) -> tuple[Any, Any]:
+            one = self.what.pop(0)
+            if isinstance(one, Exception):
+                raise one
+            return one, None
+
+    sock = SimpleNamespace(setblocking=lambda flag: None)
+    queue = Queue(sock, ConnectionAbortedError(), InterruptedError(), sock, BlockingIOError())
+    assert list(accepted(cast(Any, queue), 10)) == [sock, sock] and not queue.what
+    full = Queue(sock, OSError(24, "too many open files"), sock)
+    assert list(accepted(cast(Any, full), 10)) == [sock]
+    assert len(list(accepted(cast(Any, Queue(sock, sock, sock)), 2))) == 2
+
+
+def test_a_backend_that_hangs_through_the_whole_shutdown_leaves_nobody_without_an_answer() -> None:
+    with running(lambda s, n: None) as node:
+        config = node.configuration()
+        for cls in config["settings"]["classes"]:
+            cls["give_up_us"] = 1_000_000
+        node.reconfigure(config)
+        wait_for(lambda: "new settings" in node.log.read_text())
+        clients = [node.client() for _ in range(6)]
+        for client in clients:
+            client.send(client.head("crew"))
+        wait_for(lambda: len(node.backends[0].requests) == 6)
+        began = time.monotonic()
+        node.process.send_signal(signal.SIGTERM)
+        node.process.send_signal(signal.SIGTERM)  # said twice, it is the same end
+        statuses = [client.read().status for client in clients]
+        assert set(statuses) <= {502, 504}
+        assert all(client.ended() for client in clients)
+        assert node.process.wait(PATIENCE) == 0
+        assert time.monotonic() - began < 5
+
+
+def test_a_large_answer_to_a_slow_reader_is_whole_though_the_process_ends() -> None:
+    """A connection whose answer had been written was taken for one at rest, and the process ended over it."""
+    body = bytes(range(256)) * 4096
+    with running(lambda s, n: s.sendall(answer(200, body))) as node:
+        client = node.client()
+        client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        client.send(client.head())
+        wait_for(lambda: node.backends[0].requests)
+        time.sleep(0.2)
+        node.process.send_signal(signal.SIGTERM)
+        time.sleep(0.9)  # beyond the time after which connections at rest are closed
+        got = client.read()
+        assert got.whole and got.body == body
+        assert node.process.wait(PATIENCE) == 0
+
+
+@pytest.mark.parametrize("written", ["", "{\"seed\": \"8c1f", "whole"])
+def test_sighup_before_the_node_can_act_on_it_ends_nothing_and_is_not_forgotten(
+    tmp_path: Path, written: str
+) -> None:
+    """Its configuration is a pipe, so the process stands in its start until the test lets it go on."""
+    backend = Backend()
+    first, second = Discovery([backend.row()]), Discovery([backend.row()])
+    from tests.loopback import settings
+
+    def config(discovery: Discovery) -> str:
+        return json.dumps({
+            "seed": "8c", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "known": {"generation": 5, "reset": True, "instances": [backend.row()]},
+            "settings": settings(), "discovery": text(discovery.address),
+        })
+
+    path, new = tmp_path / "config.json", tmp_path / "config.new"
+    os.mkfifo(path)
+    new.write_text(config(second) if written == "whole" else written)
+    address = free_address()
+    env = dict(os.environ, ROUTER_NAME="n0", ROUTER_LISTEN=text(address), ROUTER_CONFIG=str(path),
+               ROUTER_DISCOVERY=text(first.address), TMPDIR=str(tmp_path))
+    log = tmp_path / "log"
+    with log.open("wb") as file:
+        process = subprocess.Popen([sys.executable, "-m", "headspar"], cwd=ROOT, env=env, stderr=file)
+    try:
+        pipe = os.open(path, os.O_WRONLY)  # waits for its reader
+        new.rename(path)
+        process.send_signal(signal.SIGHUP)
+        os.write(pipe, config(first).encode())
+        os.close(pipe)
+        if written == "whole":
+            wait_for(lambda: second.calls or process.poll() is not None)
+        else:  # half written, as it may be when it is read: nothing of it is taken
+            wait_for(lambda: "nothing taken" in log.read_text() or process.poll() is not None)
+            wait_for(lambda: first.calls)
+            path.write_text(config(second))
+            process.send_signal(signal.SIGHUP)
+            wait_for(lambda: second.calls)
+        assert process.poll() is None
+        process.send_signal(signal.SIGHUP)  # and in a row, also after the end has begun
+        process.send_signal(signal.SIGHUP)
+        process.send_signal(signal.SIGTERM)
+        process.send_signal(signal.SIGHUP)
+        assert process.wait(PATIENCE) == 0
+    finally:
+        process.kill()
+        process.wait()
+        for listener in (backend, first, second):
+            listener.close()
