Close a connection to discovery that was made just as its call ended

Cause, from reading, confirmed by a test with the connection made by hand: a call that was cancelled or failed between `connection_made` and its own return left the connection open, as nobody else knew of it. uvloop closes it itself in some of these cases; the standard loop does not. Ruled out by tests: `task` of a newer call overwritten (a cancelled call never reaches that line), A, B, A (one call, for the whole list; an answer of the old one is dropped), answer and end in one round, a whole list that lacks a server that drains (it is gone at once).

--- a/headspar/node/discovery.py
+++ b/headspar/node/discovery.py
@@ -48,6 +48,11 @@
         host, port = self.owner.address
         self.transport.write(f"GET {path} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode())
 
+    def give_up(self) -> None:
+        """Close the connection, if it was made just as the call ended: nobody else would."""
+        if self.transport is not None:
+            self.transport.abort()
+
     def data_received(self, data: bytes) -> None:
         try:
             self.parser.feed_data(data)
@@ -152,14 +157,17 @@
         try:
             async with asyncio.timeout(CONNECT_US / 1e6):
                 await self.node.loop.create_connection(lambda: call, *self.address)
+        except asyncio.CancelledError:  # ``task`` is a newer call's by now
+            call.give_up()
+            raise
         except Exception as error:
+            call.give_up()
             self.task = None
             self._failed(f"{type(error).__name__} {error}")
             return
         self.task = None
         if not self.chain.watching:
-            if call.transport is not None:
-                call.transport.abort()
+            call.give_up()
             return
         self.call = call
         self.node.log(
--- /dev/null
+++ b/tests/node/test_discovery_crossings.py
@@ -0,0 +1,192 @@
+"""What crosses in the watch on the list: a call that is called off as it connects, moves, an answer and an end."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from types import SimpleNamespace
+from typing import Any, cast
+
+import pytest
+
+from headspar.interface import BackendList, ListKind
+from headspar.node.backends import Backends
+from headspar.node.core import Node
+from headspar.node.discovery import Call, Discovery
+from headspar.operations.ledger import Ledger
+from tests.helpers import settings
+
+A, B = ("127.0.0.1", 1), ("127.0.0.1", 2)
+
+
+class Transport:
+    """A connection to discovery that keeps what is asked."""
+
+    def __init__(self) -> None:
+        self.asked: list[str] = []
+        self.aborted = False
+
+    def write(self, data: bytes) -> None:
+        self.asked.append(data.split(b" ")[1].decode())
+
+    def is_closing(self) -> bool:
+        return self.aborted
+
+    def abort(self) -> None:
+        self.aborted = True
+
+
+class Loop:
+    """The running loop, but connections are made by the test: ``calls`` are those that wait for theirs."""
+
+    def __init__(self) -> None:
+        real = asyncio.get_running_loop()
+        self.call_soon, self.call_later, self.create_task = real.call_soon, real.call_later, real.create_task
+        self.calls: list[tuple[Call, Transport, tuple[str, int], asyncio.Future[None]]] = []
+
+    async def create_connection(self, protocol: Any, *address: Any) -> None:
+        call, transport = protocol(), Transport()
+        up: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self.calls.append((call, transport, address, up))
+        await up
+
+    def make(self, number: int, error: Exception | None = None) -> tuple[Call, Transport]:
+        """The connection is made; who waits for it is told in the next round, or of an error."""
+        call, transport, _, up = self.calls[number]
+        call.connection_made(cast(Any, transport))
+        if error is not None:
+            up.set_exception(error)
+        else:
+            up.set_result(None)
+        return call, transport
+
+
+class Whole:
+    """A discovery side in ask mode with a list told to it at its start."""
+
+    def __init__(self, **changes: Any) -> None:
+        self.loop = Loop()
+        self.told: list[BackendList] = []
+        self.log: list[str] = []
+        self.removed: list[str] = []
+        node = SimpleNamespace(settings=settings(**changes), loop=self.loop, ledger=Ledger(),
+                               told=self.told.append, log=self.log.append)
+        backends = SimpleNamespace(hosts={}, remove=self.removed.append, place=self._place)
+        self.hosts = backends.hosts
+        self.discovery = Discovery(cast(Node, node), cast(Backends, backends), A)
+        self.discovery.start({"generation": 5, "instances": [row("s-1"), row("s-2")]})
+
+    def _place(self, id: str, address: Any, started: int) -> None:
+        self.hosts[id] = address
+
+
+def row(id: str, state: str = "ready") -> dict[str, Any]:
+    return {"instanceId": id, "hostPort": "127.0.0.1:80", "zone": "a", "lifecycle": state, "startedAtMs": 0}
+
+
+def answer(generation: int, rows: list[dict[str, Any]], reset: bool = False) -> bytes:
+    body = json.dumps({"generation": generation, "reset": reset, "instances": rows}).encode()
+    return b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+
+
+async def rounds(count: int = 5) -> None:
+    for _ in range(count):
+        await asyncio.sleep(0)
+
+
+def test_a_call_that_is_called_off_just_as_its_connection_is_made_leaves_none_open() -> None:
+    async def whole() -> None:
+        w = Whole()
+        w.discovery.watch(True)
+        await rounds()
+        _, transport = w.loop.make(0)
+        w.discovery.move(B)  # before the call hears of its connection
+        newer = w.discovery.task
+        await rounds()
+        assert transport.aborted and not transport.asked
+        assert newer is not None and w.discovery.task is newer and not newer.done()
+        _, second = w.loop.make(1)
+        await rounds()
+        assert w.loop.calls[1][2] == B and second.asked == ["/v1/servers"] and w.discovery.task is None
+        w.discovery.watch(False)
+
+    asyncio.run(whole())
+
+
+@pytest.mark.parametrize("error", [TimeoutError(), ConnectionResetError()])
+def test_a_call_whose_time_runs_out_just_as_its_connection_is_made_leaves_none_open(error: Exception) -> None:
+    async def whole() -> None:
+        w = Whole()
+        w.discovery.watch(True)
+        await rounds()
+        _, transport = w.loop.make(0, error)
+        await rounds()
+        assert w.told[-1].kind is ListKind.FAILED and w.discovery.call is None and w.discovery.task is None
+        assert transport.aborted and not transport.asked
+
+    asyncio.run(whole())
+
+
+def test_moves_from_a_to_b_and_back_end_with_one_call_that_asks_for_the_whole_list() -> None:
+    async def whole() -> None:
+        w = Whole()
+        w.discovery.watch(True)
+        await rounds()
+        call, first = w.loop.make(0)
+        await rounds()
+        call.data_received(answer(6, [row("s-1", "draining")]))  # of the old one, heard after the move
+        w.discovery.move(B)
+        w.discovery.move(A)
+        await rounds()
+        assert [address for _, _, address, _ in w.loop.calls] == [A, A]  # B was never begun
+        assert first.aborted and not any(e.version == 6 for e in w.told)
+        _, second = w.loop.make(1)
+        await rounds()
+        assert second.asked == ["/v1/servers"]
+        w.loop.calls[1][0].data_received(answer(7, [row("s-1")], reset=True))
+        await rounds()
+        assert w.told[-1].version == 7 and "s-2" in w.removed
+        assert second.asked[-1].startswith("/v1/servers?since=7&")
+        w.discovery.watch(False)
+
+    asyncio.run(whole())
+
+
+@pytest.mark.parametrize("after", [b"", b"HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\n[]", b"\0nonsense"])
+def test_an_answer_and_the_end_of_its_connection_in_one_round_are_the_answer_and_a_new_connection(
+    after: bytes,
+) -> None:
+    async def whole() -> None:
+        w = Whole()
+        w.discovery.watch(True)
+        await rounds()
+        call, transport = w.loop.make(0)
+        await rounds()
+        call.data_received(answer(6, [row("s-1", "draining")]) + after)
+        call.connection_lost(ConnectionResetError())
+        await rounds()
+        assert w.told[-1].version == 6 and not any(e.kind is ListKind.FAILED for e in w.told)
+        assert len(w.loop.calls) == 2 and len(transport.asked) == 1
+        _, second = w.loop.make(1)
+        await rounds()
+        assert second.asked == [f"/v1/servers?since=6&timeout_ms={w.discovery.chain.wait_us // 1000}"]
+        w.discovery.watch(False)
+
+    asyncio.run(whole())
+
+
+def test_a_whole_list_that_lacks_a_server_that_drains_ends_it() -> None:
+    async def whole() -> None:
+        w = Whole()
+        w.discovery.watch(True)
+        await rounds()
+        call, _ = w.loop.make(0)
+        await rounds()
+        call.data_received(answer(6, [row("s-1", "draining")]))
+        await rounds()
+        call.data_received(answer(7, [row("s-2")], reset=True))
+        await rounds()
+        assert w.removed == ["s-1"] and w.told[-1].kind is ListKind.FULL
+        w.discovery.watch(False)
+
+    asyncio.run(whole())
