Tell late time and a late window apart, and hold a waiting request's time

Two of 32 planted faults were missed: an attempt whose time was up was caught by its window, and a request's time counted from its turn was seen by no test of the core. Each has a test of its own now.

--- a/tests/node/test_checks_at_the_write.py
+++ b/tests/node/test_checks_at_the_write.py
@@ -89,7 +89,7 @@
 
 
 def repeats_run_again(c: Core, one: Attempt, clock: Clock) -> None:
-    clock.now = one.start_by
+    one.start_by = clock.now = clock.now + S
 
 
 def drain_is_due(c: Core, one: Attempt, clock: Clock) -> None:
@@ -103,7 +103,7 @@
 ) -> None:
     async def whole() -> None:
         async with waiting(monkeypatch) as (c, made, clock, held):
-            one = attempt(c, clock, client=Client(), start_by=clock.now + S)
+            one = attempt(c, clock, client=Client())
             assert not one.ended
             meanwhile(c, one, clock)
             held.up.set()
@@ -129,7 +129,7 @@
             first = attempt(c, clock)
             await until(lambda: made and made[0].requests)
             Held(c)
-            one = attempt(c, clock, client=Client(), start_by=clock.now + S)
+            one = attempt(c, clock, client=Client())
             meanwhile(c, one, clock)
             made[0].answer()
             await until(lambda: first.ended and one.ended)
--- a/tests/node/test_ends.py
+++ b/tests/node/test_ends.py
@@ -70,6 +70,19 @@
     assert asked(node)[1].answers == [(503, 0)]
 
 
+def test_a_request_that_waited_for_its_turn_has_what_is_left_of_its_time(node: core.Node) -> None:
+    """Its time counts from its last byte: what it tells its backend, and when it is answered at the latest."""
+    asker, loop = Asker(), cast(Any, node.loop)
+    r = core.Request(cast(Any, asker))
+    r.cls, r.budget_us, r.came = "look", 1_000_000, node.came()
+    r.deadline = r.came + r.budget_us
+    loop.run(loop.now + 700_000)
+    node.arrived(r)
+    assert r.deadline == r.came + r.budget_us and not asker.answers
+    loop.run(loop.now + 301_000)
+    assert asker.answers == [(504, 0)]
+
+
 def test_a_request_whose_time_is_cut_by_one_behind_it_is_answered_by_then(
     node: core.Node, monkeypatch: pytest.MonkeyPatch
 ) -> None:
