--- a/benchmarks/mixed.py
+++ b/benchmarks/mixed.py
@@ -71,20 +71,20 @@
     return ((ARRIVED, REFUSE.format(when=when, share=share)),)
 
 
-RELEASE = (Fault(at_s=20.0, kind="drain", servers=0.25, site="camana", linger_s=4.0, back_s=6.0),)
+RELEASE = (Fault(at_s=20.0, kind="drain", servers=0.25, site="site-a", linger_s=4.0, back_s=6.0),)
 HARMLESS: dict[str, Case] = {
     "calm": Case(),
-    "a burst": Case(faults=(Fault(at_s=30.0, kind="flood", agent="caja-valle", for_s=30.0, factor=3.0),)),
+    "a burst": Case(faults=(Fault(at_s=30.0, kind="flood", agent="agent-b", for_s=30.0, factor=3.0),)),
     "a site's release": Case(faults=RELEASE),
     "a site's servers die": Case(faults=(
-        Fault(at_s=20.0, kind="die", servers=0.6, site="camana", back_s=15.0),)),
+        Fault(at_s=20.0, kind="die", servers=0.6, site="site-a", back_s=15.0),)),
     "discovery is gone": Case(faults=(Fault(at_s=15.0, kind="discovery_gone", for_s=30.0),
                                       Fault(at_s=20.0, kind="die", servers=0.1, back_s=5.0))),
 }
 HARMS: dict[str, Case] = {
     "answers 5% later": Case(version=Version(later=0.05)),
     "refuses 4 points": Case(refuses(0.04)),
-    "refuses 6 points of one class": Case(refuses(0.06, 'cls.spec.name == "registrar-pago"')),
+    "refuses 6 points of one class": Case(refuses(0.06, 'cls.spec.name == "payment"')),
     "leaks 1 MB a minute": Case(version=Version(leak_mb_min=1.0),
                                 limits=Limits(first_s=20.0, least_s=130.0, most_s=STAGE_S - 5.0, settle_s=5.0,
                                               memory_mb=100.0)),
@@ -96,7 +96,7 @@
         ("        if now - last.sent_at < 1.4 * r.expect:\n", "        if False:\n"),
         ("        if not worth_it or self.copies < 1.0 or self.capacity.acc <= ACC_FLOOR:\n", "        if False:\n"),
     )),
-    "worse in one site": Case(refuses(0.15, 'self.settings.zone == "camana"')),
+    "worse in one site": Case(refuses(0.15, 'self.settings.zone == "site-a"')),
     "bad after 50 s": Case(refuses(0.08, "now > 50_000_000 + self.born"), limits=Limits(
         first_s=20.0, least_s=100.0, most_s=STAGE_S - 2.0, settle_s=5.0)),
 }
@@ -111,7 +111,7 @@
     return check(Scenario(
         name=f"mixed-{seed}", length_s=BEFORE_S + STAGE_S, nodes=Nodes(count=nodes),
         servers=[Servers(count=servers - servers // 5, connections=nodes, idle_s=8.0),
-                 Servers(count=servers // 5, machine="c2-rapido", speed=(1.3, 1.6), connections=nodes, idle_s=8.0)],
+                 Servers(count=servers // 5, machine="fast", speed=(1.3, 1.6), connections=nodes, idle_s=8.0)],
         load=Load(rps=nodes * RPS, swing=0.1, node_skew=0.4), callers=Callers(retries=1, notice_s=1.0),
         discovery=Discovery(notice_s=(0.5, 1.5), calls_per_s=nodes), rules=Rules(), faults=moved,
     ))
--- a/headspar/model/days.py
+++ b/headspar/model/days.py
@@ -33,7 +33,7 @@
 
 
 def _sites(rng: Draw) -> list[str]:
-    return ["camana", "mollendo", "majes", "ilo", "tacna", "moquegua"][:rng.randint(1, 6)]
+    return ["site-a", "site-b", "site-c", "site-d", "site-e", "site-f"][:rng.randint(1, 6)]
 
 
 def _deployment(rng: Draw, name: str, nodes: int, length_s: float) -> Scenario:
@@ -48,8 +48,8 @@
         "error_rate": round(rng.uniform(0, 0.002), 5),
     }
     groups = [
-        Servers(count=fast, machine="c2-rapido", speed=(1.3, 1.7), **common),  # type: ignore[arg-type]
-        Servers(count=servers - fast, machine="c2-normal", **common),  # type: ignore[arg-type]
+        Servers(count=fast, machine="fast", speed=(1.3, 1.7), **common),  # type: ignore[arg-type]
+        Servers(count=servers - fast, machine="standard", **common),  # type: ignore[arg-type]
     ]
     low, high = sorted((rng.uniform(5, 160), rng.uniform(5, 160)))
     return Scenario(
@@ -94,7 +94,7 @@
         return Fault(at_s=at, kind="slow", servers=round(rng.uniform(0.05, 0.24), 3),
                      for_s=round(rng.uniform(10, 35), 2), factor=round(rng.uniform(2, 9.5), 2))
     if kind == "flood":
-        agents = ["bodegas-unidas", "caja-valle", "red-pagos-sur", "farmacia-costa"]
+        agents = ["agent-a", "agent-b", "agent-c", "agent-d"]
         return Fault(at_s=at, kind="flood", agent=rng.choice(agents), for_s=round(rng.uniform(8.5, 18), 2),
                      factor=round(rng.uniform(2.4, 5.5), 2))
     if kind == "hot_key":
@@ -105,7 +105,7 @@
 
 def _calm(rng: Draw, s: Scenario) -> list[Fault]:
     """No fault: a burst of half as much again, by an agent's flood."""
-    share = {"bodegas-unidas": 0.22, "caja-valle": 0.19}
+    share = {"agent-a": 0.22, "agent-b": 0.19}
     agent = rng.choice(sorted(share))
     return [Fault(at_s=round(rng.uniform(4, 12), 2), kind="flood", agent=agent, for_s=round(rng.uniform(3, 8), 2),
                   factor=round(1 + 0.5 / share[agent], 2))]
--- a/headspar/rollout/fleet.py
+++ b/headspar/rollout/fleet.py
@@ -2,7 +2,7 @@
 
     [[node]]
     name = "n-1"
-    site = "camana"
+    site = "site-a"
     keeper = "127.0.0.1:9400"
 """
 
--- a/headspar/world/comebacks.py
+++ b/headspar/world/comebacks.py
@@ -61,8 +61,8 @@
         name=f"comeback-{blow.nodes}-{seed}", length_s=blow.length_s,
         nodes=Nodes(count=blow.nodes, connect_timeout_ms=250),
         servers=[
-            Servers(count=fast, machine="c2-rapido", speed=(1.3, 1.7), **common),  # type: ignore[arg-type]
-            Servers(count=servers - fast, machine="c2-normal", **common),  # type: ignore[arg-type]
+            Servers(count=fast, machine="fast", speed=(1.3, 1.7), **common),  # type: ignore[arg-type]
+            Servers(count=servers - fast, machine="standard", **common),  # type: ignore[arg-type]
         ],
         load=Load(utilisation=blow.utilisation, swing=0.1, work_scale=2.0, node_skew=0.5),
         callers=Callers(retries=blow.again, backoff="none" if blow.deaf else "exp", honour=0.0 if blow.deaf else 0.6,
--- a/headspar/world/scenario.py
+++ b/headspar/world/scenario.py
@@ -52,8 +52,8 @@
     """A group of like cash servers.  Work is in microseconds on a core of speed 1."""
 
     count: int = 9
-    machine: str = "c2-normal"
-    sites: list[str] = msgspec.field(default_factory=lambda: ["camana", "mollendo", "majes"])
+    machine: str = "standard"
+    sites: list[str] = msgspec.field(default_factory=lambda: ["site-a", "site-b", "site-c"])
     cell_size: int = 4
     cores: int = 2
     speed: Range = (0.85, 1.1)
@@ -219,19 +219,19 @@
 
 
 COUNTER_CLASSES = [
-    Class(name="consultar-deuda", share=0.38, work_ms=(24, 44), wait_ms=(35, 66), aim_ms=400,
+    Class(name="lookup", share=0.38, work_ms=(24, 44), wait_ms=(35, 66), aim_ms=400,
           deadline_ms=2000, worth=1, effect="retryable", body_bytes=0),
-    Class(name="registrar-pago", share=0.34, work_ms=(28, 51), wait_ms=(28, 51), aim_ms=400,
+    Class(name="payment", share=0.34, work_ms=(28, 51), wait_ms=(28, 51), aim_ms=400,
           deadline_ms=1200, worth=10, effect="dedup", group="all", window_ms=1200),
-    Class(name="anular-pago", share=0.15, work_ms=(49, 88), wait_ms=(48, 89), aim_ms=500,
+    Class(name="reversal", share=0.15, work_ms=(49, 88), wait_ms=(48, 89), aim_ms=500,
           deadline_ms=2000, worth=3, effect="dedup", group="all", window_ms=10_000),
-    Class(name="cierre-caja", share=0.13, work_ms=(100, 180), wait_ms=(99, 180), aim_ms=1000,
+    Class(name="batch", share=0.13, work_ms=(100, 180), wait_ms=(99, 180), aim_ms=1000,
           deadline_ms=5000, worth=8, effect="dedup", group="zone", window_ms=3000, body_bytes=2000),
 ]
 COUNTER_AGENTS = [
     Agent(name=name, share=share) for name, share in (
-        ("bodegas-unidas", 0.22), ("caja-valle", 0.19), ("red-pagos-sur", 0.16), ("farmacia-costa", 0.13),
-        ("agente-chili", 0.10), ("tienda-pampa", 0.09), ("botica-puerto", 0.07), ("kiosko-majes", 0.04),
+        ("agent-a", 0.22), ("agent-b", 0.19), ("agent-c", 0.16), ("agent-d", 0.13),
+        ("agent-e", 0.10), ("agent-f", 0.09), ("agent-g", 0.07), ("agent-h", 0.04),
     )
 ]
 
--- a/tests/comeback/test_hard_cases.py
+++ b/tests/comeback/test_hard_cases.py
@@ -143,7 +143,7 @@
     async def script(run: Scripted) -> None:
         run.remember()
         for known in run.lists.values():  # two servers of one place have come to stand at each other's address
-            rows = [row for row in known["instances"] if row["zone"] == "camana"]
+            rows = [row for row in known["instances"] if row["zone"] == "site-a"]
             rows[0]["hostPort"], rows[1]["hostPort"] = rows[1]["hostPort"], rows[0]["hostPort"]
             rows[0]["cell"] = rows[1]["cell"]
 
@@ -183,9 +183,9 @@
 
     async def script(run: Scripted) -> None:
         await run.until(AT_S - 0.5)
-        assert await run.cut("mollendo", Weather(hold_up=True, hold_down=True)) == 8 * 6
+        assert await run.cut("site-b", Weather(hold_up=True, hold_down=True)) == 8 * 6
         await run.until(AT_S + 5.0)
-        await run.cut("mollendo", Weather())
+        await run.cut("site-b", Weather())
 
     _, c, run = judged(s, tmp_path, script, relayed=8)
     assert sum(x.held for x in run.to_servers.values()) > 0
--- a/tests/connections/test_stale.py
+++ b/tests/connections/test_stale.py
@@ -33,10 +33,10 @@
     result = judged(parse(SILENT), tmp_path)
     assert result.verdict.clean, result.verdict.kinds
     stale = Counter(m.text for m in result.recording.marks if m.what == "stale")
-    assert not stale.keys() - {"consultar-deuda"}, stale
+    assert not stale.keys() - {"lookup"}, stale
     classes = result.recording.rules.classes
     keyed = {i for i, call in enumerate(result.recording.rules.calls) if classes[call.cls].effect == "dedup"}
-    assert len(keyed) > 30 and stale["consultar-deuda"] > 0  # lookups did meet dead ones
+    assert len(keyed) > 30 and stale["lookup"] > 0  # lookups did meet dead ones
     sent = Counter(s.call for s in result.recording.sent if s.call in keyed)
     assert set(sent.values()) == {1}  # none had to be sent a second time
     assert all(a.status == 200 for a in result.recording.asks if a.call in keyed)
--- a/tests/lab/test_cash_server.py
+++ b/tests/lab/test_cash_server.py
@@ -111,10 +111,10 @@
 
 
 @pytest.mark.parametrize(("name", "second", "dropped"), [
-    ("registrar-pago", 1, True),  # all servers drop its repeats: another site's too
-    ("cierre-caja", 2, True),  # those of one site do
-    ("cierre-caja", 1, False),
-    ("consultar-deuda", 2, False),
+    ("payment", 1, True),  # all servers drop its repeats: another site's too
+    ("batch", 2, True),  # those of one site do
+    ("batch", 1, False),
+    ("lookup", 2, False),
 ])
 def test_a_repeat_is_dropped_within_its_group_only(name: str, second: int, dropped: bool) -> None:
     async def talk(world: World, servers: list[CashServer]) -> None:
@@ -157,7 +157,7 @@
         budget = rules.fall_multiple * server.plan.capacity * machine.warm(now) * rules.fall_s
         assert not machine.push(now, budget * (1 + FALL_SLACK) - 1000)  # all but the last straw
         with pytest.raises((OSError, asyncio.IncompleteReadError)):
-            await ask(world, server, first_of(world, "cierre-caja"))
+            await ask(world, server, first_of(world, "batch"))
         assert [m.what for m in world.ledger.marks] == ["fell"]
         await asyncio.sleep(0.1)
         with pytest.raises(ConnectionRefusedError):
--- a/tests/model/test_calibrate.py
+++ b/tests/model/test_calibrate.py
@@ -54,7 +54,7 @@
     one = simulate(s, 1).recording
     assert all(row.off == 0.0 for row in residuals(one, one))
     far = {row.what: row.off for row in residuals(one, simulate(s, 1, costs=Costs(client_us=20_000)).recording)}
-    assert 30 < far["consultar-deuda p50 ms"] < 60 and far["attempts a first try"] == pytest.approx(0.0, abs=0.05)
+    assert 30 < far["lookup p50 ms"] < 60 and far["attempts a first try"] == pytest.approx(0.0, abs=0.05)
 
 
 def test_a_prediction_holds_one_more_run_as_often_as_it_says() -> None:
@@ -74,7 +74,7 @@
     truth.write_bytes(encode(simulate(parse(CALM), 1).recording))
     done = call("calibrate", str(file), str(truth), "--seed", "1", "--out", str(costs))
     assert done.returncode == 0, done.stderr
-    assert msgspec.json.decode(costs.read_bytes(), type=Costs).client_us > 0 and "cierre-caja p95 ms" in done.stdout
+    assert msgspec.json.decode(costs.read_bytes(), type=Costs).client_us > 0 and "batch p95 ms" in done.stdout
     told = call("predict", str(file), "--costs", str(costs), "--runs", "4", "--json", "-")
     row = json.loads(told.stdout)["whole"]
     assert told.returncode == 0 and row["low"] <= row["mean"] <= row["high"] <= 1.0
--- a/tests/model/test_mixture.py
+++ b/tests/model/test_mixture.py
@@ -48,7 +48,7 @@
     assert plain.digest() == read.digest() and not plain.told
     by_node = rows(read.told)
     assert len(by_node) == 6 and all(len(r) >= 24 for r in by_node.values())
-    assert {r.site for r in read.told} == {"camana", "mollendo", "majes"} and {r.version for r in read.told} == {""}
+    assert {r.site for r in read.told} == {"site-a", "site-b", "site-c"} and {r.version for r in read.told} == {""}
     taken = sum(r[-1].counts["taken"] for r in by_node.values())
     assert 0 <= read.verdict.taken - taken < 20  # answered after the last reading
     for r in by_node.values():
--- a/tests/model/test_simulate.py
+++ b/tests/model/test_simulate.py
@@ -207,8 +207,8 @@
         return sum(a.ended_at - a.sent_at > 300_000 or a.status != 200 for a in r.recording.asks
                    if rules.classes[rules.calls[a.call].cls].name == name)
 
-    assert slow(one, "consultar-deuda") > 0 and slow(one, "registrar-pago") == 0
-    assert slow(two, "consultar-deuda") == 0
+    assert slow(one, "lookup") > 0 and slow(one, "payment") == 0
+    assert slow(two, "lookup") == 0
 
 
 def test_the_hard_limits_of_a_node_hold_whatever_the_module_says(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/world/test_plan.py
+++ b/tests/world/test_plan.py
@@ -21,7 +21,7 @@
 [[faults]]
 at_s = 10
 kind = "flood"
-agent = "kiosko-majes"
+agent = "agent-h"
 factor = 20
 for_s = 10
 [[faults]]
@@ -67,7 +67,7 @@
     quiet = [c for c in p.calls if c.at < 5_000_000]
     assert len(quiet) == pytest.approx(1000, rel=0.15)
     names = [a.name for a in parse(BASE).agents]
-    kiosk = names.index("kiosko-majes")
+    kiosk = names.index("agent-h")
 
     def of_kiosk(start: int) -> int:
         return sum(c.agent == kiosk and start <= c.at < start + 5_000_000 for c in p.calls)
--- a/tests/world/test_scenario.py
+++ b/tests/world/test_scenario.py
@@ -13,7 +13,7 @@
 
 def test_a_short_file_gets_the_counters_classes_and_agents() -> None:
     s = parse(GOOD)
-    assert [c.name for c in s.classes] == ["consultar-deuda", "registrar-pago", "anular-pago", "cierre-caja"]
+    assert [c.name for c in s.classes] == ["lookup", "payment", "reversal", "batch"]
     assert sum(a.share for a in s.agents) == pytest.approx(1.0)
     assert from_json(to_json(s)) == s
 
--- a/tests/world/test_server.py
+++ b/tests/world/test_server.py
@@ -33,7 +33,7 @@
     return server
 
 
-def job_of(server: Server, name: str = "registrar-pago", skip: int = 0) -> Job:
+def job_of(server: Server, name: str = "payment", skip: int = 0) -> Job:
     ledger = server.ledger
     names = [c.name for c in ledger.scenario.classes]
     index = [i for i, c in enumerate(ledger.plan.calls) if names[c.cls] == name][skip]
