Break off a repeat whose last byte has not gone out within its window

A backend begins a request when its last byte has come. A keyed repeat with a long body may be written in time and end long after, on a slow connection; by then its backend may no longer drop repeats. At the latest time for its write an attempt whose bytes have not all gone out is ended, and never ran.

--- a/headspar/node/backends.py
+++ b/headspar/node/backends.py
@@ -123,6 +123,14 @@
         self.unsent = transport.get_write_buffer_size() > 0 or transport.is_closing()
         if not self.unsent:
             self.pool.node.ledger.dispatches += 1
+        elif attempt.start_by:
+            left_us = max(0, attempt.start_by - now)
+            self.pool.node.loop.call_later(left_us / 1e6, self._not_whole_in_time, attempt)
+
+    def _not_whole_in_time(self, attempt: Attempt) -> None:
+        """Repeats are soon dropped no longer, and the last byte has not gone out: it never ran, and must not now."""
+        if self.attempt is attempt and self.unsent:
+            self.pool.node.end(attempt, Outcome.MOOT)
 
     def resume_writing(self) -> None:
         if self.unsent and self.attempt is not None:
--- a/tests/node/test_checks_at_the_write.py
+++ b/tests/node/test_checks_at_the_write.py
@@ -13,9 +13,10 @@
 from headspar import decide
 from headspar.interface import AttemptEnded, Outcome, RequestArrived, RequestClass, Send
 from headspar.node import backends
-from headspar.node.core import Attempt, Request
-from tests.connections.test_socket_side import Core, Server, run, serving, until
+from headspar.node.core import Attempt, Request, now_us
+from tests.connections.test_socket_side import Core, Server, core, run, serving, until
 from tests.helpers import PAY, full, settings
+from tests.loopback import free_address
 from tests.test_mechanism import tried
 
 S = 1_000_000
@@ -173,6 +174,37 @@
     run(whole())
 
 
+def test_a_body_whose_last_byte_has_not_gone_out_in_time_is_broken_off_before_it() -> None:
+    """A backend begins a request when its last byte has come: by then it may no longer drop repeats."""
+    async def whole() -> None:
+        came = bytearray()
+        transports: list[asyncio.Transport] = []
+
+        class Deaf(asyncio.Protocol):
+            def connection_made(self, transport: asyncio.BaseTransport) -> None:
+                transports.append(cast(asyncio.Transport, transport))
+                transports[0].pause_reading()
+
+            def data_received(self, data: bytes) -> None:
+                came.extend(data)
+
+        server = await asyncio.get_running_loop().create_server(Deaf, *free_address())
+        async with core() as c:
+            c.backends.place("s", server.sockets[0].getsockname(), 0)
+            body = bytes(16_000_000)
+            one = attempt(c, Clock(), body=[body], deadline=now_us() + 9 * S, start_by=now_us() + S // 10)
+            await until(lambda: one.ended)
+            assert c.outcomes() == [Outcome.MOOT] and one.conn is None
+            assert now_us() >= one.start_by
+            transports[0].resume_reading()
+            await until(lambda: transports[0].is_closing())
+            assert len(came) < len(body)
+            c.consistent()
+        server.close()
+
+    run(whole())
+
+
 # ---------------------------------------------------------------- the time in which repeats are dropped
 
 
