Spend a cold server's budget by one clock, whichever way a request comes

Cause: `Picker.draw` (by lot) and `Picker.gate` (as nothing else is left, or for a trial) each had a clock, `drawn_at` and `asked_at`, and each spent the whole part. With prompt answers, which double it, and all nodes alike, that is over four times what a cold server may get at a multiple of 3.

Change: one clock; of what a suspect saves up, one window's part stays. One test set `asked_at` by name and sets `drawn_at` now.

--- a/headspar/decide.py
+++ b/headspar/decide.py
@@ -150,8 +150,8 @@
 
     __slots__ = (
         "id", "tag", "zone", "kind", "cell", "usable", "drained", "started_at", "n", "out", "linger", "seen",
-        "expected", "health", "warm", "nm", "nm_full", "peers", "trial_at", "trial_pause", "last_ok", "asked_at",
-        "drawn_at", "earned",
+        "expected", "health", "warm", "nm", "nm_full", "peers", "trial_at", "trial_pause", "last_ok", "drawn_at",
+        "earned",
     )
 
     def __init__(self, entry: BackendEntry) -> None:
@@ -176,7 +176,7 @@
         self.nm = self.nm_full = 0.0
         self.trial_at, self.trial_pause = 0, TRIAL_US[0]
         self.last_ok = -1
-        self.asked_at = self.drawn_at = -1
+        self.drawn_at = -1  # up to when its budget has been spent, by lot or for want of others; -1: never
         self.earned = 1.0  # times its part while it is cold, by how prompt it is beside the warm ones
 
     def put_off_trial(self, now: int) -> None:
@@ -642,7 +642,8 @@
         self.turn += 1
         b = cold[self.turn % len(cold)]
         if b.health < SUSPECT:
-            b.drawn_at = -1  # nothing is saved up for when it is sound again
+            # No more than one window's part is saved up for a trial, or for when it is sound again.
+            b.drawn_at = max(b.drawn_at, now - self.settings.fall_us) if b.drawn_at >= 0 else -1
             return None
         window, rate = self.budget(b, now)
         if r.cost > COLD_HEAVY * window:
@@ -676,8 +677,8 @@
             return True
         window, rate = self.budget(b, now)
         fall = self.settings.fall_us
-        elapsed = min(fall, now - b.asked_at) if b.asked_at >= 0 else self.rng.random() * fall
-        b.asked_at = now
+        elapsed = min(fall, now - b.drawn_at) if b.drawn_at >= 0 else self.rng.random() * fall
+        b.drawn_at = now
         return cost <= COLD_HEAVY * window and self.rng.random() * self.capacity.unit(cost) < rate * elapsed / 1e6
 
     def homes(self, key: str) -> list[Backend]:
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -322,7 +322,7 @@
         p.set_pool([b])
         now, work = 7_500_000, 0
         for _ in range(5000):
-            b.asked_at, b.started_at = now - 40_000, now - 7_500_000
+            b.drawn_at, b.started_at = now - 40_000, now - 7_500_000
             work += 2000 * p.gate(b, 2000, now)
             now += 40_000
         return work / 200
