Review: long answers to slow readers take a node over its memory limit

Change: review/2 shows that a node with the largest limits goes over 192 MB when 325 clients read long answers slowly and 12 upload at the same time: what streamed answers hold counts against no budget.

--- a/review/rig.py
+++ b/review/rig.py
@@ -349,9 +349,16 @@
         self.reader, self.writer = reader, writer
 
     @classmethod
-    async def open(cls, address: str) -> Client:
+    async def open(cls, address: str, receive_buffer: int = 0) -> Client:
+        """Connect; ``receive_buffer`` bounds what the system holds for a client that has not read it (bytes)."""
         host, _, port = address.rpartition(":")
-        return cls(*await asyncio.open_connection(host, int(port)))
+        if not receive_buffer:
+            return cls(*await asyncio.open_connection(host, int(port)))
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+        sock.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
+        return cls(*await asyncio.open_connection(sock=sock, limit=16384))
 
     def close(self) -> None:
         self.writer.transport.abort()
