--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,9 +1,8 @@
-"""Long answers to slow readers, beside uploads, bring the node over its memory limit, and the platform kills it."""
+"""One client whose trailer section has no end brings the node over its memory limit, and the platform kills it."""
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import sys
 from pathlib import Path
 
@@ -12,54 +11,39 @@
 import rig  # noqa: E402
 
 MEMORY_MB, DESCRIPTORS = 192, 1024  # the largest limits that the pages name
-READERS, UPLOADS = 328, 12  # together under a third of the descriptors
-ANSWER, BODY = 8_000_000, 9_700_000  # bytes; the pages allow 32 MB
-READ_BYTES_PER_S = 256_000
-UPLOAD_WORK_S = 0.35
-
-
-class Platform:
-    """Kills the node when it is over its memory limit, as the deploy page says."""
-
-    def __init__(self, node: rig.Node, record: rig.Record) -> None:
-        self.node, self.record = node, record
-        self.most_kb = 0
-        self.killed = False
-
-    def memory_kb(self) -> int:
-        """The private memory of the node's process; pages of files and socket buffers in the kernel left out."""
-        assert self.node.process is not None
-        with contextlib.suppress(OSError):
-            for line in Path(f"/proc/{self.node.process.pid}/status").read_text().splitlines():
-                if line.startswith("RssAnon:"):
-                    return int(line.split()[1])
-        return 0
-
-    async def watch(self) -> None:
-        assert self.node.process is not None
-        while self.node.alive():
-            used = self.memory_kb()
-            if used > self.most_kb + 5000:
-                self.record(f"platform: the node uses {used / 1024:.0f} MB")
-            self.most_kb = max(self.most_kb, used)
-            if used > MEMORY_MB * 1024:
-                self.record(f"platform: the node uses {used / 1024:.1f} MB, over its limit of {MEMORY_MB}; killed")
-                self.killed = True
-                self.node.process.kill()
-                return
-            await asyncio.sleep(0.02)
+QUIET_S, WATCH_S = 3.0, 10.0
+MOST_BYTES, MOST_S = 60_000_000, 6.0  # what the bad client sends at most
+FIELDS = 2000  # trailer fields in one write
 
 
 async def handle(server: rig.Server, message: rig.Message, writer: asyncio.StreamWriter) -> None:
-    if message.line.startswith("POST"):
-        await asyncio.sleep(UPLOAD_WORK_S)
-        writer.write(rig.response(200, b"done"))
-        return
-    await asyncio.sleep(0.03)
-    writer.write(f"HTTP/1.1 200 OK\r\nContent-Length: {ANSWER}\r\n\r\n".encode())
-    for _ in range(ANSWER // 100_000):
-        writer.write(b"y" * 100_000)
-        await writer.drain()
+    await asyncio.sleep(0.05)
+    writer.write(rig.response(200, b"ok"))
+
+
+async def bad_client(node: rig.Node, record: rig.Record) -> None:
+    """A chunked request whose body ends at once, and then trailer fields without an end, at full speed."""
+    client = await rig.Client.open(node.listen)
+    head = (b"POST /api/x HTTP/1.1\r\nHost: api.internal\r\nX-Call-Id: bad1\r\nX-Call-Class: pay\r\n"
+            b"X-Budget: 2000m\r\nIdempotency-Key: bad-key\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n")
+    client.writer.write(head)
+    record("bad client: connected, head and body sent")
+    answer = asyncio.create_task(client.reader.read(1000))
+    begin, sent, number = record.now(), 0, 0
+    try:
+        while not answer.done() and sent < MOST_BYTES and record.now() - begin < MOST_S:
+            data = b"".join(b"a%x: b\r\n" % (number + i) for i in range(FIELDS))
+            number += FIELDS
+            client.writer.write(data)
+            async with asyncio.timeout(MOST_S):
+                await client.writer.drain()
+            sent += len(data)
+    except (OSError, TimeoutError):
+        pass
+    record(f"bad client: {number} fields, {sent / 1e6:.1f} MB sent in {record.now() - begin:.1f} s; "
+           f"answered or closed: {answer.done()}")
+    answer.cancel()
+    client.close()
 
 
 async def case(record: rig.Record, folder: Path) -> list[str]:
@@ -68,91 +52,63 @@
         await server.start()
     discovery = rig.Discovery(servers, record)
     await discovery.start()
-    classes = [
-        rig.request_class("report", "retryable"),
-        rig.request_class("batch", "dedup", aim_us=1_000_000, give_up_us=5_000_000, worth=8.0),
-    ]
+    classes = [rig.request_class("lookup", "retryable"), rig.request_class("pay", "dedup", worth=10.0)]
     node = rig.Node(record, folder, {
         "settings": rig.settings(classes), "known": discovery.known(),
         "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": DESCRIPTORS},
     }, discovery.address)
     await node.start()
-    platform = Platform(node, record)
+    platform = rig.Platform(node, record)
     watch = asyncio.create_task(platform.watch())
-    answered = lost = 0
-    over = asyncio.Event()
+    lost: list[str] = []
+    answered = 0
 
-    async def read_report(number: int) -> None:
-        nonlocal answered, lost
-        client = await rig.Client.open(node.listen, receive_buffer=65536)
-        client.writer.write(rig.request("report", f"r{number}", 2000, hint_us=30_000, path=f"/api/r{number}"))
+    async def pay(number: int) -> None:
+        nonlocal answered
+        name = f"pay-{number}"
         try:
-            head = await client.reader.readuntil(b"\r\n\r\n")
-            if b" 200 " not in head:
-                record(f"client: report {number} answered {head[9:12].decode()}")
-                return
-            begin, got = record.now(), 0
-            while got < ANSWER:
-                data = await client.reader.read(16384)
-                if not data:
-                    raise ConnectionError("end")
-                got += len(data)
-                if rig.TROUBLE:
-                    await asyncio.sleep(max(0.0, begin + got / READ_BYTES_PER_S - record.now()))
-            answered += 1
-        except (OSError, asyncio.IncompleteReadError):
-            if not over.is_set():
-                lost += 1
-                record(f"client: report {number} broke off")
-        finally:
-            client.close()
-
-    async def upload(number: int) -> None:
-        nonlocal answered, lost
-        client = await rig.Client.open(node.listen)
-        data = rig.request("batch", f"u{number}", 5000, key=f"key-{number}", body=b"z" * BODY, hint_us=150_000,
-                           path=f"/api/u{number}")
-        sent = False
+            client = await rig.Client.open(node.listen)
+        except OSError:
+            return  # the node is not running: it has not taken this request
+        sent = record.now()
         try:
-            client.writer.write(data)
-            await client.writer.drain()
-            sent = True
-            record(f"client: upload {number} sent")
-            message = await rig.read_message(client.reader)
-            record(f"client: upload {number} answered {message.status}")
+            client.writer.write(rig.request("pay", name, 2000, key=f"key-{number}", body=b"amount=12", hint_us=30_000,
+                                            path=f"/api/p{number}"))
+            async with asyncio.timeout(2.55):  # the client's time, and what the rule adds for a late answer
+                message = await rig.read_message(client.reader)
+            record(f"client: {name} answered {message.status} after {record.now() - sent:.2f} s")
             answered += 1
-        except (OSError, asyncio.IncompleteReadError):
-            if not over.is_set():
-                lost += sent
-                record(f"client: upload {number} has no answer" if sent else f"client: upload {number} not sent")
+        except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
+            record(f"client: {name} has no answer after {record.now() - sent:.2f} s: {type(error).__name__}")
+            lost.append(name)
         finally:
             client.close()
 
     tasks = []
+    bad: asyncio.Task[None] | None = None
     try:
-        for number in range(READERS):
-            tasks.append(asyncio.create_task(read_report(number)))
-            await asyncio.sleep(0.02)
-        record(f"{READERS} reports asked for")
-        for wave in range(4):
-            if platform.killed:
-                break
-            uploads = [asyncio.create_task(upload(100 * wave + number)) for number in range(UPLOADS)]
-            await asyncio.wait(uploads, timeout=4.0)
-            tasks += uploads
-        await asyncio.wait(tasks, timeout=60.0)
+        begin, number = record.now(), 0
+        while record.now() - begin < QUIET_S + WATCH_S and node.alive():
+            tasks.append(asyncio.create_task(pay(number)))
+            number += 1
+            if rig.TROUBLE and bad is None and record.now() - begin > QUIET_S:
+                bad = asyncio.create_task(bad_client(node, record))
+            await asyncio.sleep(0.05)
+        await asyncio.wait(tasks, timeout=5.0)
         if not platform.killed and not node.alive():
             raise rig.CouldNotRun("the node has ended by itself")
+        if bad is not None:
+            await bad
     finally:
-        over.set()
         watch.cancel()
-        for task in tasks:
-            task.cancel()
         await node.end()
-    record(f"most memory {platform.most_kb / 1024:.1f} MB; {answered} requests answered, {lost} lost")
+    record(f"most memory {platform.most_kb / 1024:.1f} MB; {answered} payments answered, {len(lost)} lost")
+    breaches = []
     if platform.killed:
-        return [f"the node went over {MEMORY_MB} MB and was killed; {lost} requests that it had taken were lost"]
-    return []
+        breaches.append(f"the node went over {MEMORY_MB} MB and was killed")
+    if lost:
+        breaches.append(f"{len(lost)} payments that the node had taken were not answered: {', '.join(lost[:5])} ...")
+    return breaches
 
 
 sys.exit(rig.run_case(Path(__file__).resolve().parent, case))
--- a/review/rig.py
+++ b/review/rig.py
@@ -16,6 +16,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -340,6 +341,39 @@
             await self.process.wait()
 
 
+class Platform:
+    """Kills the node when it is over its memory limit, as the deploy page says."""
+
+    def __init__(self, node: Node, record: Record) -> None:
+        self.node, self.record = node, record
+        self.limit_mb = node.config["limits"]["memory_mb"]
+        self.most_kb = 0
+        self.killed = False
+
+    def memory_kb(self) -> int:
+        """The private memory of the node's process; pages of files and socket buffers in the kernel left out."""
+        assert self.node.process is not None
+        with contextlib.suppress(OSError):
+            for line in Path(f"/proc/{self.node.process.pid}/status").read_text().splitlines():
+                if line.startswith("RssAnon:"):
+                    return int(line.split()[1])
+        return 0
+
+    async def watch(self) -> None:
+        assert self.node.process is not None
+        while self.node.alive():
+            used = self.memory_kb()
+            if used > self.most_kb + 10_000:
+                self.record(f"platform: the node uses {used / 1024:.0f} MB")
+            self.most_kb = max(self.most_kb, used)
+            if used > self.limit_mb * 1024:
+                self.record(f"platform: {used / 1024:.1f} MB are over the node's limit of {self.limit_mb}; killed")
+                self.killed = True
+                self.node.process.kill()
+                return
+            await asyncio.sleep(0.02)
+
+
 # ---------------------------------------------------------------- clients
 
 
@@ -394,6 +428,10 @@
         record(f"could not run: {type(error).__name__}: {error}")
         print(f"could not run: {type(error).__name__}: {error}")
         return COULD_NOT_RUN
+    except Exception:
+        record(f"could not run:\n{traceback.format_exc()}")
+        traceback.print_exc()
+        return COULD_NOT_RUN
     finally:
         with contextlib.suppress(OSError):
             record("the node's log:\n" + (temporary / "node.log").read_text(errors="replace"))
