Review: the node ends with its case, however the case ends

Need: a case that failed while it was set up left its node running.

Change: the stand-ins end every node that they started.

--- a/review/rig.py
+++ b/review/rig.py
@@ -283,6 +283,8 @@
 class Node:
     """The program, started with `run` of the deploy file."""
 
+    started: list[Node] = []  # all are ended with the case, however it ends
+
     def __init__(self, record: Record, folder: Path, config: dict[str, Any], discovery: str) -> None:
         self.record, self.folder = record, folder
         self.listen = free_address()
@@ -290,6 +292,7 @@
         self.config = {"name": "n0", "listen": self.listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
                        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, **config}
         self.process: asyncio.subprocess.Process | None = None
+        self.started.append(self)
 
     def configure(self, **more: Any) -> None:
         """Replace the configuration file."""
@@ -453,4 +456,8 @@
     task = asyncio.current_task()
     assert task is not None
     loop.add_signal_handler(signal.SIGTERM, task.cancel)  # so that the node ends with the case
-    return await asyncio.wait_for(case, limit_s)
+    try:
+        return await asyncio.wait_for(case, limit_s)
+    finally:
+        for node in Node.started:
+            await node.end()
