Review: cases say how late their own stand-ins ran

Need: an answer that is late because the stand-ins were busy must not count against the node.

Change: each case measures the lag of its own loop; a breach beside a lag over 0.3 s is no verdict (status 2).

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -37,6 +37,7 @@
             client.writer.write(data)
             async with asyncio.timeout(MOST_S):
                 await client.writer.drain()
+            await asyncio.sleep(0)  # the usual clients of this process go first
             sent += len(data)
     except (OSError, TimeoutError):
         pass
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -36,6 +36,7 @@
             while not writer.is_closing():
                 writer.write(FIELDS)
                 await writer.drain()
+                await asyncio.sleep(0)  # the clients of this process go first
                 sent += len(FIELDS)
         finally:
             self.record(f"{server.name}: the spoilt answer has ended after {sent / 1e6:.0f} MB")
--- a/review/rig.py
+++ b/review/rig.py
@@ -25,6 +25,7 @@
 HOST = "127.0.0.1"
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+MOST_LAG_S = 0.3  # of the stand-ins' own loop
 
 
 class CouldNotRun(Exception):
@@ -426,7 +427,7 @@
     record("with the disruption" if TROUBLE else "without the disruption (TROUBLE=0)")
     temporary = Path(tempfile.mkdtemp(prefix="review-"))
     try:
-        breaches = asyncio.run(_limited(case(record, temporary), limit_s))
+        breaches = asyncio.run(_limited(case(record, temporary), record, limit_s))
     except (CouldNotRun, TimeoutError, OSError, asyncio.CancelledError) as error:
         record(f"could not run: {type(error).__name__}: {error}")
         print(f"could not run: {type(error).__name__}: {error}")
@@ -447,7 +448,7 @@
     return BROKEN if breaches else HELD
 
 
-async def _limited(case: Awaitable[list[str]], limit_s: float) -> list[str]:
+async def _limited(case: Awaitable[list[str]], record: Record, limit_s: float) -> list[str]:
     loop = asyncio.get_running_loop()  # stand-ins that the end of a case cancels are no errors
     loop.set_exception_handler(
         lambda loop, context: None if isinstance(context.get("exception"), asyncio.CancelledError)
@@ -456,8 +457,28 @@
     task = asyncio.current_task()
     assert task is not None
     loop.add_signal_handler(signal.SIGTERM, task.cancel)  # so that the node ends with the case
+    lag = asyncio.create_task(_measure_lag())
     try:
-        return await asyncio.wait_for(case, limit_s)
+        breaches = await asyncio.wait_for(case, limit_s)
     finally:
+        lag.cancel()
         for node in Node.started:
             await node.end()
+    record(f"the stand-ins ran at most {1000 * Lag.most_s:.0f} ms late")
+    if breaches and Lag.most_s > MOST_LAG_S:
+        raise CouldNotRun(f"the stand-ins themselves ran {Lag.most_s:.2f} s late")
+    return breaches
+
+
+class Lag:
+    """How late the stand-ins' own loop ran; what they were late for is not held against the node."""
+
+    most_s = 0.0
+
+
+async def _measure_lag() -> None:
+    loop = asyncio.get_running_loop()
+    while True:
+        begin = loop.time()
+        await asyncio.sleep(0.02)
+        Lag.most_s = max(Lag.most_s, loop.time() - begin - 0.02)
