--- a/review/2/case.py
+++ b/review/2/case.py
@@ -17,6 +17,7 @@
 
 
 async def handle(server: rig.Server, message: rig.Message, writer: asyncio.StreamWriter) -> None:
+    server.record(f"{server.name}: runs {message.headers['x-call-id']}")
     await asyncio.sleep(0.05)
     writer.write(rig.response(200, b"ok"))
 
@@ -50,6 +51,7 @@
 async def case(record: rig.Record, folder: Path) -> list[str]:
     servers = [rig.Server(f"s{i}", zone, handle) for i, zone in enumerate("aaabbbccc")]
     for server in servers:
+        server.record = record
         await server.start()
     discovery = rig.Discovery(servers, record)
     await discovery.start()
@@ -75,6 +77,8 @@
         try:
             client.writer.write(rig.request("pay", name, 2000, key=f"key-{number}", body=b"amount=12", hint_us=30_000,
                                             path=f"/api/p{number}"))
+            await client.writer.drain()
+            record(f"client: {name} sent")
             async with asyncio.timeout(2.55):  # the client's time, and what the rule adds for a late answer
                 message = await rig.read_message(client.reader)
             record(f"client: {name} answered {message.status} after {record.now() - sent:.2f} s")
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -24,6 +24,7 @@
         self.spoilt = False
 
     async def handle(self, server: rig.Server, message: rig.Message, writer: asyncio.StreamWriter) -> None:
+        self.record(f"{server.name}: runs {message.headers['x-call-id']}")
         await asyncio.sleep(0.05)
         if not rig.TROUBLE or self.spoilt or not message.line.startswith("POST"):
             writer.write(rig.response(200, b"ok"))
@@ -65,6 +66,8 @@
         begin = record.now()
         try:
             client.writer.write(data)
+            await client.writer.drain()
+            record(f"client: {name} sent")
             async with asyncio.timeout(budget_ms / 1000 + LATE_S):
                 message = await rig.read_message(client.reader)
             record(f"client: {name} answered {message.status} after {record.now() - begin:.2f} s")
