--- a/headspar/node/backend_connection.py
+++ b/headspar/node/backend_connection.py
@@ -218,6 +218,11 @@
         self.close(CloseReason.UNEXPECTED_BYTES)
         return gap_us
 
+    def progress(self) -> dict[str, object]:
+        """Return how far the answer has come, for the trace: its status (0: no head yet), the bytes of its body, the
+        announced length in bytes (-1: none), and whether it is being passed on."""
+        return {"status": self.status, "body": self.size, "length": self.length, "passed_on": self.streaming}
+
     def _outcome(self) -> Outcome:
         if self.status == 200:
             return Outcome.OK
--- a/headspar/node/backends.py
+++ b/headspar/node/backends.py
@@ -114,24 +114,28 @@
     def _may_write(self, attempt: Attempt) -> bool:
         """Return whether an attempt may still be written; called right before the write. The attempt may have waited
         for a connection since it was decided, and the client's disconnect may not have been read yet."""
+        attempt.reason = self._reason_not_to_write(attempt)
+        return attempt.reason is None
+
+    def _reason_not_to_write(self, attempt: Attempt) -> EndReason | None:
         r, now = attempt.request, now_us()
         if not r.live or now >= r.deadline or 0 < attempt.start_by <= now:
-            return False
+            return EndReason.TOO_LATE
         grace = self.node.settings.drain_grace_us
         since = self.draining.get(attempt.backend)
         if since is not None and now - since >= grace - min(DRAIN_MARGIN_US, grace // 2):
-            return False
+            return EndReason.DRAINING
         host = self.hosts.get(attempt.backend)
         if host in self.in_slow_start and now - attempt.sent_at > self.node.settings.fall_us // COLD_WAIT_DIVISOR:
-            return False  # attempts that waited for one late connection would arrive as one burst
+            return EndReason.WAITED_FOR_COLD  # attempts that waited for one late connection would arrive as one burst
         if r.client is not None and not r.client.is_connected():
             r.client.disconnected()
-            return False
-        return True
+            return EndReason.CLIENT_GONE
+        return None
 
     def _take(self, host: Host, attempt: Attempt, now: int) -> None:
         if not self._may_write(attempt):
-            self._never_written(attempt, EndReason.MAY_NOT_BE_WRITTEN)
+            self.node.end(attempt, Outcome.MOOT)
             return
         proven_only = attempt.request.proven_only
         while True:
@@ -206,7 +210,7 @@
                 conn.transport.abort()
 
     def _never_sent(self, attempt: Attempt) -> None:
-        self._never_written(attempt, EndReason.NO_CONNECTION)
+        self._never_written(attempt, attempt.reason or EndReason.NO_CONNECTION)
 
     def put_back(self, conn: Connection) -> None:
         """Return a connection to the pool after a complete and well-formed answer."""
--- a/headspar/node/clients.py
+++ b/headspar/node/clients.py
@@ -431,6 +431,8 @@
 
     def _reject(self, status: int) -> None:
         """Answer a request that is not forwarded, and close the connection."""
+        if self.node.trace is not None:
+            self.node.trace.write("rejected", status=status, id=self._incoming_id(), behind=self._last_call_id())
         self._drop_incoming()
         self.close_after = self.ignoring_input = True
         self._request_ended()
@@ -440,6 +442,14 @@
             return
         self._start(status)
 
+    def _incoming_id(self) -> bytes | None:
+        return self.incoming.call_id if self.incoming is not None else None
+
+    def _last_call_id(self) -> bytes | None:
+        """Return the call id of the last complete request that is still open on this connection."""
+        last = self.queue[-1] if self.queue else self.current
+        return last.call_id if isinstance(last, Request) else None
+
     def _drop_incoming(self) -> None:
         r, self.incoming = self.incoming, None
         if r is not None:
--- a/headspar/node/core.py
+++ b/headspar/node/core.py
@@ -350,6 +350,7 @@
             self.trace.write(
                 "attempt_ended", id=attempt.request.call_id, attempt=attempt.number, backend=attempt.backend,
                 connection=conn.number if conn is not None else None, outcome=outcome.name, reason=attempt.reason,
+                answer=conn.progress() if conn is not None else None,
             )
         if conn is not None:
             conn.release()
--- a/headspar/node/trace.py
+++ b/headspar/node/trace.py
@@ -26,7 +26,10 @@
     BACKEND_REMOVED = "backend removed while the attempt waited"
     NO_CONNECTION = "no connection available"
     NOT_WRITTEN = "not written in time"
-    MAY_NOT_BE_WRITTEN = "no longer allowed at the write"
+    TOO_LATE = "answered, or its time was over, before the write"
+    DRAINING = "the backend's drain grace ended before the write"
+    WAITED_FOR_COLD = "waited too long for a backend in slow start"
+    CLIENT_GONE = "the client left before the write"
     CONNECT_FAILED = "connection not established"
     STREAM_STALLED = "streamed answer stalled"
 
--- a/tests/node/test_trace.py
+++ b/tests/node/test_trace.py
@@ -53,6 +53,46 @@
     assert by_event["closed"]["reason"] == "attempt ended without a complete answer"
 
 
+def test_how_far_an_answer_had_come_is_told_with_the_end_of_its_attempt(tmp_path: Path, monkeypatch: Any) -> None:
+    path = traced(tmp_path, monkeypatch)
+    head = b"HTTP/1.1 200 X\r\nContent-Length: 2000\r\n\r\n"
+    with running(lambda sock, n: sock.sendall(head + bytes(1200))) as node:
+        assert node.client().ask("crew", budget="300m").status in (502, 504)
+    ended = next(row for row in rows(path) if row["event"] == "attempt_ended")
+    assert ended["answer"] == {"status": 200, "body": 1200, "length": 2000, "passed_on": False}
+
+
+def test_a_rejection_tells_its_status_and_the_request_before_it(tmp_path: Path, monkeypatch: Any) -> None:
+    path = traced(tmp_path, monkeypatch)
+    held = threading.Event()
+
+    def script(sock: Any, n: int) -> None:
+        held.wait(5.0)
+        sock.sendall(answer())
+
+    with running(script) as node:
+        client = node.client()
+        client.send(client.head("crew", X_Call_Id="open-one"))
+        wait_for(lambda: node.backends[0].requests)
+        client.send(client.head("crew").replace(b"POST", b"PUT"))
+        found = wait_for(lambda: [row for row in rows(path) if row["event"] == "rejected"])
+        held.set()
+    assert found[0]["status"] == 405 and found[0]["behind"] == "open-one"
+
+
+def test_why_an_attempt_was_not_written_is_told(tmp_path: Path, monkeypatch: Any) -> None:
+    path = traced(tmp_path, monkeypatch)
+    with running(None) as node:
+        with node.paused():
+            client = node.client()
+            client.send(client.head("crew"))
+            client.wait_delivered()
+            client.close()
+        found = wait_for(lambda: [row for row in rows(path) if row["event"] == "attempt_ended"])
+        assert not node.backends[0].requests
+    assert found[0]["reason"] == "the client left before the write"
+
+
 def test_unexpected_bytes_are_logged_without_a_trace() -> None:
     def script(sock: Any, n: int) -> None:
         sock.sendall(answer())
