Pass on long answers without a length before they are cut off or held back

Cause: an answer whose length is not announced was buffered until 64 KiB had come, and its attempt ended at the deadline like one without an answer; with an announced length it was passed on at the first byte.

A 200 that may be longer than the buffer is now passed on at the latest 1 s after its head and 50 ms before the deadline; before that a broken one is still retried. Not covered: answers with requests pipelined behind them are still held whole.

--- a/headspar/node/backend_connection.py
+++ b/headspar/node/backend_connection.py
@@ -21,10 +21,14 @@
 
 if TYPE_CHECKING:
     from headspar.node.backends import Backends, Host
+    from headspar.node.clients import Client
 
 MAX_BUFFERED = 64 * 1024  # bytes; answers up to this size are buffered, so that a broken one can be retried
 MAX_ERROR_BODY = 64 * 1024  # bytes; it is read to keep the connection, and not passed on
 MAX_BODY = 32 * 1024 * 1024  # bytes
+# A long answer must not be held back for 2 s, and its first byte is due by the client's deadline.
+MAX_HOLD_US = 1_000_000
+DEADLINE_MARGIN_US = 50_000
 
 
 class Connection(PacedProtocol):
@@ -34,7 +38,7 @@
         "pool", "host", "number", "poller", "attempt", "unsent", "silent", "last_received_at",
         "closed", "uses", "last_answer_at", "parser", "status", "rejected", "framed", "length", "report",
         "content_type", "body", "size", "overhead", "in_body", "complete", "keep_alive", "excess_input",
-        "streaming", "budgeted",
+        "streaming", "budgeted", "hold_timer",
     )
 
     def __init__(self, pool: Backends, host: Host, number: int) -> None:
@@ -49,6 +53,7 @@
         self.silent = True  # no byte has been received since the last request
         self.parser: Any = httptools.HttpResponseParser(self)
         self.overhead = MessageOverhead()
+        self.hold_timer: asyncio.TimerHandle | None = None  # until the answer is passed on before it is complete
         self._reset()
 
     def _reset(self) -> None:
@@ -120,6 +125,7 @@
         """The attempt has ended: keep the connection if its answer was complete and well-formed, otherwise close
         it."""
         self.attempt = None
+        self._stop_holding()
         self.last_answer_at = now_us()
         self.pool.budget.give_back(self.budgeted)
         self.budgeted = 0
@@ -195,6 +201,44 @@
             self._finish(Outcome.RESET, EndReason.TOO_LARGE)
         elif self.status != 200 and self.size > MAX_ERROR_BODY:
             self._finish(self._outcome(), EndReason.TOO_LARGE)  # its head has told the outcome
+        elif self.hold_timer is None and self._may_be_long() and not self.streaming:
+            self._hold(attempt, now)
+
+    # ------------------------------------------------------------ answers that come slowly
+
+    def _may_be_long(self) -> bool:
+        """Return whether an answer has begun that is longer than what is buffered, or does not tell its length."""
+        return self.status == 200 and not 0 <= self.length <= MAX_BUFFERED
+
+    def _hold(self, attempt: Attempt, now: int) -> None:
+        """Buffer the answer, so that a broken one can be retried, until it has to be passed on."""
+        pass_on_at = min(now + MAX_HOLD_US, attempt.request.deadline - DEADLINE_MARGIN_US)
+        self.hold_timer = self.pool.node.loop.call_later(max(0, pass_on_at - now) / 1e6, self.pass_on)
+
+    def _stop_holding(self) -> None:
+        if self.hold_timer is not None:
+            self.hold_timer.cancel()
+            self.hold_timer = None
+
+    def pass_on(self) -> bool:
+        """Pass on what has come of a long answer, and the rest as it comes. Return whether it is being passed on."""
+        attempt = self.attempt
+        if attempt is None or self.complete or not self._may_be_long():
+            return False
+        client = attempt.request.client
+        if not self.streaming and client is not None and not client.has_queued_requests():
+            self._begin_streaming(attempt, client)
+        return self.streaming
+
+    def _begin_streaming(self, attempt: Attempt, client: Client) -> None:
+        if not self.pool.node.stream_started(attempt):
+            return
+        self._stop_holding()
+        self.streaming = True
+        client.stream_begin(self, self.length, self.content_type)
+        buffered, self.body = self.body, []
+        for part in buffered:
+            self._forward(part)
 
     def _finish_unparsable(self, error: Exception) -> None:
         """End the attempt whose answer the parser can't continue with."""
@@ -296,14 +340,10 @@
                     return
                 self.budgeted += len(data)
                 return
-            if client is None or not self.pool.node.stream_started(attempt):
+            if client is not None:
+                self._begin_streaming(attempt, client)
+            if not self.streaming:
                 self.body.clear()  # no client waits for it any more; the balancer cancels it
-                return
-            self.streaming = True
-            client.stream_begin(self, self.length, self.content_type)
-            buffered, self.body = self.body, []
-            for part in buffered:
-                self._forward(part)
 
     def _forward(self, data: bytes) -> None:
         client = self.attempt.request.client if self.attempt is not None else None
--- a/headspar/node/core.py
+++ b/headspar/node/core.py
@@ -323,6 +323,10 @@
             if r.size:
                 r.release(self.backends.budget)
 
+    def _pass_on(self, attempt: Attempt) -> bool:
+        """Pass on the answer of an attempt that would be given up, if a long one has begun. Return whether it has."""
+        return not attempt.ended and attempt.conn is not None and attempt.conn.pass_on()
+
     def stream_started(self, attempt: Attempt) -> bool:
         """The first bytes of a streamed answer have arrived. Return whether they go to the client."""
         r = attempt.request
@@ -428,7 +432,7 @@
         if r is None or action.attempt >= len(r.attempts):
             return
         attempt = r.attempts[action.attempt]
-        if r.stream is not attempt:
+        if r.stream is not attempt and not (r.live and self._pass_on(attempt)):
             self.end(attempt, Outcome.CANCELLED)
 
     def _set_timer(self, action: SetTimer, now: int) -> None:
@@ -476,14 +480,11 @@
             if r is None:
                 continue
             if kind == ATTEMPT_TIMEOUT:
-                if r.stream is not r.attempts[number]:
-                    self.end(r.attempts[number], Outcome.TIMEOUT)
+                self._time_out(r, [r.attempts[number]])
                 continue
             if r.live:
                 overdue.append(r)
-            for attempt in r.attempts[:]:
-                if r.stream is not attempt:
-                    self.end(attempt, Outcome.TIMEOUT)
+            self._time_out(r, r.attempts[:])
         if overdue:
             self._process_events()
             for r in overdue:
@@ -493,6 +494,14 @@
         if due and self.timer is None:
             self._arm(due[0][0])
 
+    def _time_out(self, r: Request, attempts: list[Attempt]) -> None:
+        """End attempts whose time is over, but not the one whose answer is being passed on or can be from now on."""
+        if r.live:
+            any(self._pass_on(attempt) for attempt in attempts)
+        for attempt in attempts:
+            if r.stream is not attempt:
+                self.end(attempt, Outcome.TIMEOUT)
+
     def answer_all(self) -> None:
         """The process ends before the deadlines of these requests: give each its final answer now, and refuse
         requests that are still being read."""
