--- a/tests/node/harness.py
+++ b/tests/node/harness.py
@@ -28,6 +28,10 @@
     def call_soon(self, call: Callable[..., None], *arguments: Any) -> None:
         self.soon.append((call, arguments))
 
+    def call_later(self, delay_s: float, call: Callable[..., None], *arguments: Any) -> SimpleNamespace:
+        """Return a timer that never fires."""
+        return SimpleNamespace(cancel=lambda: None)
+
     def run(self) -> None:
         while self.soon:
             call, arguments = self.soon.pop(0)
--- a/tests/node/test_answer_bounds.py
+++ b/tests/node/test_answer_bounds.py
@@ -16,7 +16,7 @@
 from headspar.node.trace import EndReason
 from tests.helpers import settings
 from tests.node.endless import PIECE, fields, parts_without_end, pieces, repeated
-from tests.node.harness import Transport
+from tests.node.harness import Loop, Transport
 
 MAX_BYTES = 512 * 1024  # far over the limit of 64 KiB for one part
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -46,7 +46,7 @@
         self.outcomes: list[Outcome] = []
         self.transport = Transport()
         node = SimpleNamespace(end=self._end, settings=settings(), error=self._error, trace=None,
-                               ledger=SimpleNamespace(dispatches=0), input_turns=None)
+                               ledger=SimpleNamespace(dispatches=0), input_turns=None, loop=Loop())
         pool = SimpleNamespace(node=node, budget=Budget(1 << 20), lost=lambda *_: None, put_back=lambda _: None,
                                trace_close=lambda *_: None)
         host = SimpleNamespace(name=b"s", id="s", last_received_at=0)
