A request with surplus bytes behind it is answered as malformed, not served

Cause: once a request seemed complete nothing looked back at it when the bytes right behind it could not be read as another one.

It is answered 400 and the connection closes: a waiting one is never sent on, a forwarded one has its attempts cancelled, and those before it keep their answers. A malformed request with a request line of its own is rejected as before. Once an answer is under way nothing changes.

--- a/headspar/node/clients.py
+++ b/headspar/node/clients.py
@@ -189,7 +189,12 @@
             self._continue_parsing(data[upgrade.args[0]:])
         except httptools.HttpParserError as error:
             if not self.ignoring_input:  # otherwise the request has been rejected within the same read
-                self._reject(self._parser_error_status(error, bytes(data)))
+                status = self._parser_error_status(error, bytes(data))
+                unsound = self._request_with_surplus()
+                if unsound is not None:
+                    self._reject_taken(unsound)
+                else:
+                    self._reject(status)
         else:
             if self.overhead.too_large() and not self.ignoring_input:
                 self._reject(431)
@@ -431,16 +436,41 @@
 
     def _reject(self, status: int) -> None:
         """Answer a request that is not forwarded, and close the connection."""
+        self._trace_rejection(status)
+        self._end_input()
+        if self.current is not None or self.queue:
+            self.queue.append(status)
+            return
+        self._start(status)
+
+    def _request_with_surplus(self) -> Request | None:
+        """Return the open request whose length is wrong, when the bytes right behind it do not begin another one."""
+        if self.incoming is not None or self.url:
+            return None
+        last = self.queue[-1] if self.queue else self.current
+        return last if isinstance(last, Request) and (last is not self.current or last.live) else None
+
+    def _reject_taken(self, unsound: Request) -> None:
+        """Answer a request that has turned out to be malformed, whether it waits or was forwarded, and close."""
+        self._trace_rejection(400)
+        self._end_input()
+        if unsound is self.current:
+            self.node.reject(unsound, 400)
+        else:
+            self.queue.pop()
+            unsound.release(self.server.budget)
+            self.queue.append(400)
+
+    def _trace_rejection(self, status: int) -> None:
         if self.node.trace is not None:
             self.node.trace.write("rejected", status=status, id=self._incoming_id(), behind=self._last_call_id())
+
+    def _end_input(self) -> None:
+        """Read no further request; the connection is closed behind the answers that are owed."""
         self._drop_incoming()
         self.close_after = self.ignoring_input = True
         self._request_ended()
         self.server.idle.pop(self, None)
-        if self.current is not None or self.queue:
-            self.queue.append(status)
-            return
-        self._start(status)
 
     def _incoming_id(self) -> bytes | None:
         return self.incoming.call_id if self.incoming is not None else None
--- a/headspar/node/core.py
+++ b/headspar/node/core.py
@@ -296,6 +296,12 @@
             client.refuse(r, status, retry_after_us)
         self._forget(r)
 
+    def reject(self, r: Request, status: int) -> None:
+        """Answer a request that has turned out to be malformed after it was taken, and cancel what is left of it."""
+        r.client_left = True
+        self.answer(r, status)
+        self.post(ClientGone(r.key))
+
     def _trace_answer(self, r: Request, status: int, retry_after_us: int = 0) -> None:
         assert self.trace is not None
         self.trace.write(
--- a/tests/node/test_client_crossings.py
+++ b/tests/node/test_client_crossings.py
@@ -42,7 +42,7 @@
         assert s.node.ids() == [b"1", b"2", b"3"] and transport.statuses() == [200] * 3
 
 
-@pytest.mark.parametrize("bad", [b"NONSENSE\r\n\r\n", request("3", budget="soon")])
+@pytest.mark.parametrize("bad", [b"GET /x HTTP/1.1\r\nno colon\r\n\r\n", request("3", budget="soon")])
 def test_a_rejection_does_not_overtake_the_answer_that_is_still_owed(bad: bytes) -> None:
     with side() as s:
         client, transport = s.client()
@@ -56,6 +56,18 @@
         assert transport.statuses() == [200, 200, 400]
 
 
+def test_a_rejection_of_surplus_input_does_not_overtake_the_answer_that_is_still_owed() -> None:
+    with side() as s:
+        client, transport = s.client()
+        client.data_received(request("1") + request("2"))
+        client.data_received(b"NONSENSE\r\n\r\n")
+        assert transport.statuses() == [] and s.node.ids() == [b"1"]
+        s.answer(client)
+        assert transport.statuses() == [200]
+        s.node.loop.run()
+        assert transport.statuses() == [200, 400] and s.node.ids() == [b"1"]
+
+
 def test_many_that_wait_are_taken_one_by_one_in_order() -> None:
     with side() as s:
         client, transport = s.client()
