A request that ends before it is decided leaves no load behind in the decisions

The node had forgotten the request by then, so they never heard of that attempt's end: its load stayed at the server for good, and the estimates sank with every such client.

A request is now forgotten only when the decisions have handled the events that it caused. 3 tests failed before and pass. One test looked at the table right after answering; it looks after the events are handled.

--- a/headspar/node/core.py
+++ b/headspar/node/core.py
@@ -141,6 +141,7 @@
         self.most_held = config.settings.most_held
         self.serial = 0
         self.events: list[Event] = []
+        self.ended: list[Request] = []  # to be forgotten after these events
         self.processing_scheduled = False
         self.due: list[tuple[int, int, int, str]] = []  # heap of (time, kind, number, request's key)
         self.timer: asyncio.TimerHandle | None = None
@@ -220,6 +221,7 @@
             return
         self.processing_scheduled = False
         events, self.events = self.events, []
+        ended, self.ended = self.ended, []
         if not events:
             return
         try:
@@ -234,6 +236,8 @@
                 self.actions[type(action)](action, now)  # type: ignore[operator]
             except Exception as error:
                 self.error(type(action).__name__, error)
+        for r in ended:
+            self._drop(r)
         if self.recorder is not None and self.balancer.ticked_at != self.recorded_at:
             self.recorded_at = self.balancer.ticked_at
             ledger = self.ledger
@@ -323,6 +327,14 @@
         self._forget(r)
 
     def _forget(self, r: Request) -> None:
+        """Forget a request that has ended, once the balancer has handled the events that it caused: until then an
+        attempt may be decided for it, and the balancer has to learn how that ended."""
+        if self.events:
+            self.ended.append(r)
+        else:
+            self._drop(r)
+
+    def _drop(self, r: Request) -> None:
         if not r.live and not r.outstanding and r.stream is None:
             self.requests.pop(r.key, None)
             r.attempts.clear()
--- a/tests/node/test_ends.py
+++ b/tests/node/test_ends.py
@@ -10,6 +10,7 @@
 import subprocess
 import sys
 import time
+from collections.abc import Callable
 from pathlib import Path
 from types import SimpleNamespace
 from typing import Any, cast
@@ -17,9 +18,11 @@
 import pytest
 
 from headspar.node import client_connections, core
+from headspar.node.clock import now_us
 from headspar.process import NEW_CONNECTION_GRACE_US, Process, drain_accept_queue
+from tests.helpers import full, settings
 from tests.loopback import ROOT, TIMEOUT_S, Backend, Discovery, answer, free_address, running, text, wait_for
-from tests.node.harness import side
+from tests.node.harness import Loop, side
 from tests.test_due import make_node
 
 
@@ -57,6 +60,7 @@
     assert before.answers == [(504, 0)]
     _, after = submit_request(node)
     assert after.answers == [(503, node.retry_after())]
+    node.flush_events()
     assert not node.requests
 
 
@@ -84,6 +88,24 @@
     assert client.answers == [(504, 0)]
 
 
+@pytest.mark.parametrize("end", [
+    lambda node, r: node.client_gone(r), lambda node, r: node.reject(r, 400), lambda node, r: node.answer_all(),
+])
+def test_a_request_that_ends_before_it_is_decided_leaves_no_load_behind(end: Callable[[Any, Any], None]) -> None:
+    loop = cast(Any, Loop())
+    node = core.Node(cast(Any, SimpleNamespace(settings=settings(), seed=1)), loop)
+    node.backends = cast(Any, SimpleNamespace(repeatable=set(), budget=None))
+    node.reach = cast(Any, SimpleNamespace(draining={}))
+    node.balancer.handle(now_us(), [full(2)])
+    for _ in range(20):
+        r, _ = submit_request(node)
+        end(node, r)
+        node.closing = False
+        loop.run()
+    assert [b.outstanding for b in node.balancer.membership.backends.values()] == [0, 0]
+    assert not node.balancer.finished and not node.balancer.requests and not node.requests
+
+
 def test_a_request_whose_time_is_cut_by_one_behind_it_is_answered_by_then(
     node: core.Node, monkeypatch: pytest.MonkeyPatch
 ) -> None:
