--- a/headspar/node/clients.py
+++ b/headspar/node/clients.py
@@ -257,10 +257,13 @@
         self.overhead.field()
         if self.incoming is not None or self.ignoring_input:
             return  # a trailer field, or one of a request that has been rejected
-        name = name.lower()
-        if name in self.headers and name in SINGLETON_HEADERS:
-            self.duplicate_header = True
-        self.headers[name] = value.strip()
+        name, value = name.lower(), value.strip()
+        if name in self.headers:
+            if name in SINGLETON_HEADERS:
+                self.duplicate_header = True
+            elif name == b"transfer-encoding":
+                value = self.headers[name] + b", " + value  # one list (RFC 9110 section 5.3)
+        self.headers[name] = value
 
     def on_headers_complete(self) -> None:
         if self.early_status or self.ignoring_input or self.framing:
