--- a/headspar/node/clients.py
+++ b/headspar/node/clients.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import select
 from collections import deque
 from hashlib import blake2b
@@ -39,6 +40,8 @@
     b"host", b"x-call-id", b"x-call-class", b"x-caller", b"x-budget", b"x-call-cost", b"x-again",
     b"idempotency-key",
 ))
+# Characters of a host and port (RFC 3986 sections 3.2.2 and 3.2.3); an empty host is valid.
+NO_HOST_CHARACTER = re.compile(rb"[^A-Za-z0-9._~!$&'()*+;=%:\[\]-]")
 MAX_CALL_ID = 200
 MAX_TARGET_KEY = 200  # bytes; longer keys are replaced by a digest
 KEY_DIGEST_BYTES = 16
@@ -318,8 +321,9 @@
     def _parse_head(self, r: Request, method: bytes) -> int:
         """Fill in the request from its head. Return the status of a rejection, or 0."""
         get = self.headers.get
-        if self.duplicate_header or b"host" not in self.headers:
-            self.node.log("client: Host is missing or a singleton header is repeated (RFC 9112 3.2)")
+        host = get(b"host")
+        if self.duplicate_header or host is None or NO_HOST_CHARACTER.search(host):
+            self.node.log("client: Host is missing or not valid, or a singleton header is repeated (RFC 9112 3.2)")
             return 400
         call_id, budget = get(b"x-call-id", b""), read_budget(get(b"x-budget", b""))
         if not call_id or len(call_id) > MAX_CALL_ID or budget is None:
