--- a/headspar/node/backend_connection.py
+++ b/headspar/node/backend_connection.py
@@ -195,6 +195,8 @@
             self.excess_input = True
         if self.attempt is not attempt:
             return  # the data has ended the attempt
+        if self.streaming:
+            self._forward()
         if self.complete:
             self._finish(self._outcome())
         elif self.overhead.too_large() or self.size > MAX_BODY:
@@ -236,9 +238,7 @@
         self._stop_holding()
         self.streaming = True
         client.stream_begin(self, self.length, self.content_type)
-        buffered, self.body = self.body, []
-        for part in buffered:
-            self._forward(part)
+        self._forward()
 
     def _finish_unparsable(self, error: Exception) -> None:
         """End the attempt whose answer the parser can't continue with."""
@@ -278,6 +278,8 @@
         attempt = self.attempt
         if attempt is not None:
             attempt.reason = reason
+            if self.streaming:
+                self._forward()
             body = b"".join(self.body)
             self.pool.node.end(attempt, outcome, body, self.content_type, self.report)
 
@@ -323,10 +325,9 @@
         self.size += len(data)
         if self.status != 200:
             return
-        if self.streaming:
-            self._forward(data)
-            return
         self.body.append(data)
+        if self.streaming:
+            return  # forwarded at the end of this read
         if self.length > MAX_BUFFERED or self.size > MAX_BUFFERED:
             attempt = self.attempt
             client = attempt.request.client if attempt is not None else None
@@ -345,9 +346,11 @@
             if not self.streaming:
                 self.body.clear()  # no client waits for it any more; the balancer cancels it
 
-    def _forward(self, data: bytes) -> None:
+    def _forward(self) -> None:
+        """Pass on what has been read of a streamed answer, in one piece: small chunks cost a write each."""
+        data, self.body = b"".join(self.body), []
         client = self.attempt.request.client if self.attempt is not None else None
-        if client is not None:
+        if client is not None and data:
             client.stream_write(data)
 
     def on_message_complete(self) -> None:
