Keep of a head only what is used, and count heads that are not complete

Cause: every header field was kept in a dictionary until the request's body was complete, some 160 bytes of objects each, outside the budget; only the bytes of the head were bounded. Evidence: 300 clients with 980 fields took a node with a limit of 64 MB to 77.7 MB, within a head as well as behind one.

Fields that the node does not use are counted and dropped, the others are dropped when the head has been read, and what an incomplete head holds beyond 2 KiB counts against the memory for bodies; without room the answer is 503.

--- a/headspar/node/clients.py
+++ b/headspar/node/clients.py
@@ -40,6 +40,8 @@
     b"host", b"x-call-id", b"x-call-class", b"x-caller", b"x-budget", b"x-call-cost", b"x-again",
     b"idempotency-key",
 ))
+# All that is used of a head; of other headers only the size counts.
+USED_HEADERS = SINGLETON_HEADERS | {b"content-length", b"transfer-encoding", b"content-type", b"expect"}
 # Characters of a host and port (RFC 3986 sections 3.2.2 and 3.2.3); an empty host is valid.
 NO_HOST_CHARACTER = re.compile(rb"[^A-Za-z0-9._~!$&'()*+;=%:\[\]-]")
 MAX_CALL_ID = 200
@@ -100,7 +102,7 @@
         "server", "node", "parser", "current", "queue", "active_tick", "closing", "over_limit", "paused",
         "url", "headers", "incoming", "reading", "overhead", "early_status", "source", "close_after", "chunked",
         "ignoring_input", "served", "partial_since", "duplicate_header", "framing", "poller", "last_received_at",
-        "unread_since", "continue_due",
+        "unread_since", "continue_due", "fields_size", "partial_head_size",
     )
 
     def __init__(self, server: ClientConnections) -> None:
@@ -124,12 +126,14 @@
         self.last_received_at = 0  # when bytes were last received, us
         self.unread_since = 0  # after a pause in reading: earliest arrival of the next data, us
         self.continue_due = False  # a request that expects "100 Continue" is behind others
+        self.partial_head_size = 0  # bytes of the budget that an incomplete head has taken
         self.overhead = MessageOverhead()
         self._reset_head()
 
     def _reset_head(self) -> None:
         self.url = b""
         self.headers: dict[bytes, bytes] = {}
+        self.fields_size = 0  # bytes of all header fields
         self.incoming: Request | None = None
         self.overhead.restart()
         self.early_status = 0
@@ -201,6 +205,8 @@
         else:
             if self.overhead.too_large() and not self.ignoring_input:
                 self._reject(431)
+            elif not self._reserve_partial_head():
+                self._reject(503)
             elif self.reading and not self.partial_since and not self.ignoring_input:
                 self.partial_since = self.last_received_at
                 self.server.slow[self] = None
@@ -261,6 +267,9 @@
         if self.incoming is not None or self.ignoring_input:
             return  # a trailer field, or one of a request that has been rejected
         name, value = name.lower(), value.strip()
+        self.fields_size += len(name) + len(value)
+        if name not in USED_HEADERS:
+            return
         if name in self.headers:
             if name in SINGLETON_HEADERS:
                 self.duplicate_header = True
@@ -280,9 +289,7 @@
         method = parser.get_method()
         version = parser.get_http_version()
         length = headers.get(b"content-length")
-        if head_size > MAX_HEAD and len(self.url) + sum(map(len, headers)) + sum(
-            map(len, headers.values())
-        ) > MAX_HEAD:
+        if head_size > MAX_HEAD and len(self.url) + self.fields_size > MAX_HEAD:
             self._reject(431)
         elif method not in (b"GET", b"POST"):
             self._reject(405)
@@ -305,6 +312,7 @@
                     self.transport.write(CONTINUE)
                 else:
                     self.continue_due = True
+        self.url, self.headers = b"", {}
 
     def _save_framing(self) -> None:
         """Save the framing of a request whose body the parser will skip."""
@@ -363,6 +371,18 @@
         r.head_size = size
         return 0
 
+    def _reserve_partial_head(self) -> bool:
+        """Reserve memory for a head that is not complete. Return whether there is any."""
+        partial = self.reading and self.incoming is None
+        size = max(0, self.overhead.size - FREE_HEAD_BYTES) if partial else 0
+        more, self.partial_head_size = size - self.partial_head_size, size
+        if more <= 0:
+            self.server.budget.give_back(-more)
+        elif not self.server.budget.take(more):
+            self.partial_head_size -= more
+            return False
+        return True
+
     def _reserve(self, r: Request, size: int) -> bool:
         if not self.server.budget.take(size):
             return False
@@ -422,6 +442,8 @@
     def _request_ended(self) -> None:
         """No incomplete request is being read any more."""
         self.reading = False
+        if self.partial_head_size:
+            self._reserve_partial_head()
         if self.partial_since:
             self.partial_since = 0
             self.server.slow.pop(self, None)
