A server that comes up at the address of another one takes its place

Discovery learns of a death later than of a start, so for seconds it lists both ids at one address; the node went on sending the old id's share there. That is the wrong place (another zone or cell, whose servers do not drop the repeats of a keyed request: PROTOCOL, no effect happens twice) and a warm server's share for a cold process (slow start).

Of two listed servers with one address the one that started later is there; the other one is gone, with whatever waits for a connection to it.

--- a/headspar/node/backends.py
+++ b/headspar/node/backends.py
@@ -53,6 +53,7 @@
     def __init__(self, node: Node, max_connections: int, budget: Budget, file: ConnectionsTable) -> None:
         self.node, self.max_connections, self.budget = node, max_connections, budget
         self.hosts: dict[str, Host] = {}
+        self.at_address: dict[Address, str] = {}  # the backend that listens there
         self.draining: Mapping[str, int] = {}  # by backend: when this node was notified of its drain
         self.in_slow_start: set[Host] = set()  # backends in slow start, which may be cold
         self.connections: dict[int, Connection] = {}  # by the plan's connection numbers
@@ -66,7 +67,25 @@
         self.repeatable = {c.name for c in settings.classes if c.effect is Effect.RETRYABLE}
         self.plan.change(settings.idle_close_us, settings.balancers)
 
-    def add_or_update(self, id: str, address: Address, started_at: int) -> None:
+    def add_or_update(self, id: str, address: Address, started_at: int) -> str | None:
+        """Add a backend, or replace it after a restart or a change of address.
+
+        Return the id of a backend that is gone though it is listed, because another one listens at its address: the
+        one of the two that has started earlier.
+        """
+        other = self.at_address.get(address, id)
+        other_started_at = self.hosts[other].started_at if other != id else started_at
+        if other_started_at > started_at:
+            self.remove(id)
+            return id
+        if other_started_at < started_at:
+            self.remove(other)
+            self._place(id, address, started_at)
+            return other
+        self._place(id, address, started_at)
+        return None
+
+    def _place(self, id: str, address: Address, started_at: int) -> None:
         host = self.hosts.get(id)
         if host is None or host.address != address or started_at > host.started_at:
             self.remove(id)
@@ -77,10 +96,14 @@
             self.plan.warmth(id, self.node.settings.warm_share(started_at, now_us()))
             if started_at:
                 self.in_slow_start.add(host)
+            self.at_address.setdefault(address, id)
 
     def remove(self, id: str) -> None:
+        """Remove a backend; attempts that wait for a connection to it may go elsewhere."""
         host = self.hosts.pop(id, None)
         if host is not None:
+            if self.at_address.get(host.address) == id:
+                del self.at_address[host.address]
             waiters = host.waiters.leave()
             self._close(self.plan.remove(id))
             for attempt in waiters:  # their backend is gone or has a new address
--- a/headspar/node/discovery.py
+++ b/headspar/node/discovery.py
@@ -27,6 +27,7 @@
 CONNECT_TIMEOUT_US = 1_000_000
 MAX_ANSWER_BYTES = 4 * 1024 * 1024  # some 16,000 entries
 MAX_BACKENDS = 8192  # in the list
+MAX_LOGGED = 200  # characters of a log line that lists servers
 MAX_NAME = 256  # characters of an entry's id, zone or machine type
 MAX_PAUSE_US = 100_000  # between an answer and the next call; a watch ends after 200 ms
 HEALTHS = {"ready": Health.READY, "draining": Health.DRAINING, "gone": Health.GONE}
@@ -119,6 +120,7 @@
         self.node, self.backends, self.address = node, backends, address
         self.watch_state = Chain(node.settings)
         self.generation = 0
+        self.displaced: set[str] = set()  # by the list that is being applied
         self.call: Call | None = None
         self.task: asyncio.Task[None] | None = None
         self.timer: asyncio.TimerHandle | None = None
@@ -314,11 +316,13 @@
         if not isinstance(rows, list) or isinstance(generation, bool) or not isinstance(generation, int):
             raise ValueError("generation must be an integer and instances a list")
         entries = []
+        self.displaced.clear()
         for row in rows:
             try:
                 entries.append(self._entry(row))
             except (KeyError, TypeError, ValueError, OverflowError) as error:
                 self.node.log(f"discovery: entry skipped: {type(error).__name__} {error} in {str(row)[:200]}")
+        entries = self._without_displaced(entries)
         self.generation = generation
         if entries:
             states = [e.health.value for e in entries]
@@ -333,6 +337,15 @@
         if entries or kind is not ListKind.DELTA or self.watch_state.first:
             self.node.on_list(BackendList(kind, generation, entries))
 
+    def _without_displaced(self, entries: list[BackendEntry]) -> list[BackendEntry]:
+        """Mark backends as gone at whose address another one listens now."""
+        gone = sorted(id for id in self.displaced if id not in self.backends.hosts)
+        if not gone:
+            return entries
+        self.node.log(f"discovery: gone, as another server has their address: {', '.join(gone)}"[:MAX_LOGGED])
+        kept = [entry for entry in entries if entry.backend not in gone]
+        return kept + [BackendEntry(id, "", "", 0, Health.GONE, 1.0, 0) for id in gone]
+
     def _entry(self, row: Any) -> BackendEntry:
         id = row["instanceId"]
         if not isinstance(id, str) or not id:
@@ -352,5 +365,7 @@
                              health, float(row.get("weight", 1.0)), started)
         if id not in self.backends.hosts and len(self.backends.hosts) >= MAX_BACKENDS:
             raise ValueError(f"more than {MAX_BACKENDS} backends")
-        self.backends.add_or_update(id, parse_address(row["hostPort"], "hostPort"), started)
+        displaced = self.backends.add_or_update(id, parse_address(row["hostPort"], "hostPort"), started)
+        if displaced is not None:
+            self.displaced.add(displaced)
         return entry
