Begin no attempt while unread input may hide that the client has closed

Cause: the check at each write looks for the end of the connection, which the kernel shows only behind the last byte; with a full receive window it is still at the client.

If input has been unread for over 50 ms, since reading was paused or the process stood still for 0.3 s, no attempt begins: a new request is refused at once, a retry ends as not written. To keep this away from clients that pipeline, reading stops at 256 waiting requests instead of 16; each counts 1 KiB against the memory for bodies as before.

--- a/headspar/node/backends.py
+++ b/headspar/node/backends.py
@@ -154,6 +154,8 @@
         if r.client is not None and not r.client.is_connected():
             r.client.disconnected()
             return EndReason.CLIENT_GONE
+        if r.client is not None and r.client.close_may_be_hidden():
+            return EndReason.CLOSE_HIDDEN
         return None
 
     def _take(self, host: Host, attempt: Attempt, now: int) -> None:
--- a/headspar/node/clients.py
+++ b/headspar/node/clients.py
@@ -50,7 +50,9 @@
 FREE_HEAD_BYTES = 2 * 1024  # of a head; what is kept beyond that counts against the memory for bodies
 QUEUED_REQUEST_BYTES = 1024  # what a request takes that waits behind another one on its connection
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-MAX_PIPELINED = 16  # maximum number of pipelined requests that wait for an earlier answer on their connection
+MAX_PIPELINED = 256  # maximum number of pipelined requests that wait for an earlier answer on their connection
+# A client's close is seen behind its last byte; an attempt must not begin 0.1 s after it.
+HIDDEN_CLOSE_US = 50_000
 EMPTY_ANSWERS = {
     (status, close): (
         f"HTTP/1.1 {status} {text}\r\n{'Connection: close' if close else 'Connection: keep-alive'}\r\n"
@@ -103,6 +105,7 @@
         "url", "headers", "incoming", "reading", "overhead", "early_status", "source", "close_after", "chunked",
         "ignoring_input", "served", "partial_since", "duplicate_header", "framing", "poller", "last_received_at",
         "unread_since", "continue_due", "fields_size", "partial_head_size",
+        "hidden_since",
     )
 
     def __init__(self, server: ClientConnections) -> None:
@@ -126,6 +129,7 @@
         self.last_received_at = 0  # when bytes were last received, us
         self.unread_since = 0  # after a pause in reading: earliest arrival of the next data, us
         self.continue_due = False  # a request that expects "100 Continue" is behind others
+        self.hidden_since = 0  # since when unread input may hide that the client has closed, us
         self.partial_head_size = 0  # bytes of the budget that an incomplete head has taken
         self.overhead = MessageOverhead()
         self._reset_head()
@@ -181,6 +185,15 @@
             return False
         return not self._polled(select.POLLRDHUP | select.POLLHUP | select.POLLERR)
 
+    def close_may_be_hidden(self) -> bool:
+        """Return whether input has been unread for so long that the client may have closed behind it."""
+        if not self.hidden_since:
+            return False
+        if not self._polled(select.POLLIN):
+            self.hidden_since = 0
+            return False
+        return now_us() - self.hidden_since > HIDDEN_CLOSE_US
+
     def _polled(self, events: int) -> bool:
         return any(found & events for _, found in self.poller.poll(0))
 
@@ -231,6 +244,8 @@
     def on_reading_stopped(self) -> None:
         if not self.unread_since:
             self.unread_since = now_us()
+        if not self.hidden_since:
+            self.hidden_since = now_us()
 
     def on_reading_resumed(self) -> None:
         if not self._polled(select.POLLIN):
@@ -428,6 +443,8 @@
             if r.body or r.head.startswith(b"POST"):
                 r.extra += b"Content-Length: %d\r\n" % sum(map(len, r.body))
             r.arrived_at = self.unread_since or self.node.arrival_time()
+            if not self.hidden_since:
+                self.hidden_since = self.node.stalled_since()
             r.deadline = r.arrived_at + r.budget_us
             if self.current is not None:
                 self.node.shorten_deadline(self.current, r.deadline)
@@ -453,6 +470,10 @@
         return now - self.partial_since > factor * (SLOW_HEAD_US + size * SLOW_BODY_US)
 
     def _start(self, item: Request | int | None) -> None:
+        if isinstance(item, Request) and self.close_may_be_hidden():
+            self.node.count_rejected(item)
+            item.release(self.server.budget)
+            item = 503
         if isinstance(item, Request):
             self.current = item
             # Answers are sent in the order of the requests: one with a later deadline must not delay those behind it
--- a/headspar/node/core.py
+++ b/headspar/node/core.py
@@ -249,6 +249,10 @@
         """Return the earliest time at which what is read now may have arrived, us."""
         return self.pause_detector.earliest_arrival(self._check_pause())
 
+    def stalled_since(self) -> int:
+        """Return since when what is read now may have waited while the process stood still, us; 0: it has not."""
+        return self.pause_detector.stalled_since(now_us())
+
     def retry_after(self) -> int:
         """Return the Retry-After of requests that the node itself refuses, us; 0 if the settings send none."""
         s = self.settings
--- a/headspar/node/trace.py
+++ b/headspar/node/trace.py
@@ -30,6 +30,7 @@
     DRAINING = "the backend's drain grace ended before the write"
     WAITED_FOR_COLD = "waited too long for a backend in slow start"
     CLIENT_GONE = "the client left before the write"
+    CLOSE_HIDDEN = "unread input may hide that the client left"
     CONNECT_FAILED = "connection not established"
     STREAM_STALLED = "streamed answer stalled"
 
--- a/tests/node/harness.py
+++ b/tests/node/harness.py
@@ -100,6 +100,9 @@
     def arrival_time(self) -> int:
         return self.now
 
+    def stalled_since(self) -> int:
+        return 0
+
     def retry_after(self) -> int:
         return self.retry_us
 
