Reject a request whose id has been taken before

Evidence: an unsafe request whose client had left ran again, one that was open ran at two servers.

The node keeps the ids of the requests that it has taken for 30 s, 8,192 at most, and answers 409 to one that comes again.

--- a/headspar/node/core.py
+++ b/headspar/node/core.py
@@ -41,6 +41,7 @@
 from headspar.node.clock import now_us
 from headspar.node.paced_input import InputTurns
 from headspar.node.pause_detector import PauseDetector
+from headspar.node.taken_ids import TakenIds
 from headspar.operations.ledger import Ledger
 from headspar.operations.lifecycle import Lifecycle
 
@@ -136,6 +137,7 @@
         self.peers: Peers | None = None
         self.requests: dict[str, Request] = {}
         self.lifecycle = Lifecycle()
+        self.taken_ids = TakenIds()
         self.ledger = Ledger(c.name for c in config.settings.classes)
         self.aims = aims(config.settings)
         self.most_held = config.settings.most_held
@@ -266,6 +268,10 @@
         if self.closing or len(self.requests) >= self.most_held:
             self.answer(r, 503, self.retry_after())
             return
+        if not self.taken_ids.take(r.call_id, now):
+            self.log(f"client: the id {r.call_id[:60]!r} has been taken before")
+            self._answer(r, 409)
+            return
         self.serial += 1
         r.key = str(self.serial)
         r.live = True
@@ -295,6 +301,12 @@
         self.ledger.answered(r.cls, 503)
 
     def answer(self, r: Request, status: int, retry_after_us: int = 0) -> None:
+        """Give a request its final answer, which has no body."""
+        if status == 503 and r.live:
+            self.taken_ids.release(r.call_id)
+        self._answer(r, status, retry_after_us)
+
+    def _answer(self, r: Request, status: int, retry_after_us: int = 0) -> None:
         r.live = False
         self.ledger.answered(r.cls, status)
         if self.trace is not None:
@@ -322,6 +334,8 @@
             self.trace.write("client_gone", id=r.call_id, answered=not r.live)
         r.client = None
         if r.live:
+            if not r.attempts:
+                self.taken_ids.release(r.call_id)
             r.live, r.client_left = False, True
             self.ledger.client_disconnected()
             self.post(ClientGone(r.key))
--- a/tests/node/test_ends.py
+++ b/tests/node/test_ends.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 import os
 import signal
@@ -26,6 +27,9 @@
 from tests.test_due import make_node
 
 
+serial = itertools.count()
+
+
 class RecordingClient:
     """Stub of a request's client that records how it was answered."""
 
@@ -39,7 +43,7 @@
 def submit_request(node: core.Node) -> tuple[core.Request, RecordingClient]:
     client = RecordingClient()
     r = core.Request(cast(Any, client))
-    r.cls, r.budget_us = "look", 1_000_000
+    r.call_id, r.cls, r.budget_us = b"c%d" % next(serial), "look", 1_000_000
     r.arrived_at = node.arrival_time()
     r.deadline = r.arrived_at + r.budget_us
     node.arrived(r)
--- a/tests/node/test_repeated_ids.py
+++ b/tests/node/test_repeated_ids.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from headspar.node.taken_ids import KEEP_US, MAX_IDS, TakenIds
 from tests.loopback import TIMEOUT_S, Node, answer, running, wait_for
 
 
@@ -59,3 +60,16 @@
     with running(script) as node:
         assert node.client().ask("crew", X_Call_Id="refused", budget="300m").status == 503
         wait_for(lambda: node.client().ask("crew", X_Call_Id="refused").status == 200)
+
+
+def test_the_table_of_ids_is_bounded_in_number_and_in_time() -> None:
+    ids = TakenIds()
+    for i in range(3 * MAX_IDS):
+        assert ids.take(b"%d" % i, 1000 + i)
+        assert len(ids.until) <= MAX_IDS
+    newest = b"%d" % (3 * MAX_IDS - 1)
+    now = 1000 + 3 * MAX_IDS
+    assert not ids.take(newest, now) and ids.take(newest, now + KEEP_US)
+    for i in range(2 * MAX_IDS):
+        ids.take(b"later%d" % i, now + 2 * KEEP_US)
+    assert newest not in ids.until
