--- a/tests/node/test_ends.py
+++ b/tests/node/test_ends.py
@@ -26,7 +26,6 @@
 from tests.node.harness import Loop, side
 from tests.test_due import make_node
 
-
 serial = itertools.count()
 
 
