The two processes of an upgrade tell each other which ids they have taken

Both serve for some seconds, and each knew only its own ids. Evidence: an unsafe request that was open at the old process was sent on by the new one, and the other way round.

From the offer on the old process sends the ids that it knows and each that it takes, the new one the same from its start; both record them. Left: an id that reaches both processes within the millisecond that a packet takes.

--- a/headspar/handover/messages.py
+++ b/headspar/handover/messages.py
@@ -10,12 +10,14 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Iterable
 from dataclasses import MISSING, asdict, dataclass, fields
 from typing import Any, get_type_hints
 
 VERSION = 1
 MAX_PACKET = 4096
 MAX_SOCKETS = 16  # in one packet
+MAX_IDS_SIZE = MAX_PACKET - 100  # bytes of call ids in one packet, as JSON
 
 
 class MessageError(ValueError):
@@ -24,9 +26,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Hello:
-    """New to old process, first message: the name of the node."""
+    """New to old process, first message: the name of the node.  ``ids``: the new process reads ``Taken``."""
 
     name: str
+    ids: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,13 +37,15 @@
     """Old to new process: comes with the listening socket, the peers' socket if ``peers``, and a file of learned
     state.
 
-    ``clients``, ``backends`` and ``requests`` are the numbers that the old process holds.
+    ``clients``, ``backends`` and ``requests`` are the numbers that the old process holds.  ``ids``: the old process
+    reads ``Taken``.
     """
 
     peers: bool
     clients: int
     backends: int
     requests: int
+    ids: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,6 +69,13 @@
     requests: int
 
 
+@dataclass(frozen=True, slots=True)
+class Taken:
+    """Either process to the other: call ids of requests that it has taken, as Latin-1, one a line."""
+
+    ids: str
+
+
 @dataclass(frozen=True, slots=True)
 class No:
     """Old to new process: refuses the hand-over."""
@@ -71,8 +83,10 @@
     reason: str
 
 
-Message = Hello | Offer | Ready | Clients | Held | No
-KINDS: dict[str, type[Message]] = {kind.__name__.lower(): kind for kind in (Hello, Offer, Ready, Clients, Held, No)}
+Message = Hello | Offer | Ready | Clients | Held | Taken | No
+KINDS: dict[str, type[Message]] = {
+    kind.__name__.lower(): kind for kind in (Hello, Offer, Ready, Clients, Held, Taken, No)
+}
 DEFAULTS: dict[type[Message], dict[str, Any]] = {
     kind: {f.name: f.default for f in fields(kind) if f.default is not MISSING} for kind in KINDS.values()
 }
@@ -84,6 +98,24 @@
     return json.dumps({"v": VERSION, "say": type(message).__name__.lower(), **asdict(message)}).encode()
 
 
+def pack_ids(ids: Iterable[bytes]) -> tuple[Taken, int]:
+    """Puts as many ids into a message as fit a packet; returns it and their number, which is one at least."""
+    packed: list[str] = []
+    size = 0
+    for call_id in ids:
+        text = call_id.decode("latin-1")
+        size += len(json.dumps(text))
+        if packed and size > MAX_IDS_SIZE:
+            break
+        packed.append(text)
+    return Taken("\n".join(packed)), len(packed)
+
+
+def unpack_ids(message: Taken) -> list[bytes]:
+    """The ids of a message; characters that no id can have are replaced."""
+    return [text.encode("latin-1", "replace") for text in message.ids.split("\n") if text]
+
+
 def decode(packet: bytes, sockets: int) -> Message:
     """Parses a packet that came with ``sockets`` descriptors; raises ``MessageError`` if either is invalid."""
     if len(packet) > MAX_PACKET:
--- a/headspar/handover/new_process.py
+++ b/headspar/handover/new_process.py
@@ -12,8 +12,10 @@
 
 from headspar.handover import unix_socket
 from headspar.handover.beliefs import MAX_BYTES
-from headspar.handover.messages import Clients, Held, Hello, MessageError, No, Offer, Ready
+from headspar.handover.id_exchange import IdExchange
+from headspar.handover.messages import Clients, Held, Hello, MessageError, No, Offer, Ready, Taken
 from headspar.handover.transitions import Action, NewProcessState, new_process_step
+from headspar.node.taken_ids import TakenIds
 
 OFFER_TIMEOUT_S = 1.5
 BUSY_TIMEOUT_S = 3.0  # while the old process hands over to another new one
@@ -59,7 +61,7 @@
 
 
 def _request_offer(link: socket.socket, name: str) -> ReceivedOffer:
-    unix_socket.send(link, Hello(name))
+    unix_socket.send(link, Hello(name, ids=True))
     received = unix_socket.receive(link)
     if received is None:
         raise MessageError("the other process has ended")
@@ -83,11 +85,13 @@
     def __init__(
         self, offer: ReceivedOffer, loop: asyncio.AbstractEventLoop, *,
         adopt: Callable[[socket.socket], None], share: Callable[[Held | None], None], log: Callable[[str], None],
+        ids: TakenIds,
     ) -> None:
         self.link, self.loop = offer.link, loop
         self.adopt, self.share, self.log = adopt, share, log
         self.state = NewProcessState.TAKEN
         self.adopted = 0
+        self.exchange = IdExchange(ids, offer.link, loop) if offer.offer.ids else None
 
     def ready(self) -> None:
         """Notifies the old process that this one serves."""
@@ -97,6 +101,9 @@
             unix_socket.send(self.link, Ready())
         except OSError as error:
             self._finish(str(error))
+            return
+        if self.exchange is not None:
+            self.exchange.start()
 
     def _read(self) -> None:
         try:
@@ -119,6 +126,8 @@
                 self.adopt(sock)
         elif action is Action.SHARE and isinstance(message, Held):
             self.share(message)
+        elif action is Action.RECORD and isinstance(message, Taken) and self.exchange is not None:
+            self.exchange.received(message)
         else:
             unix_socket.close(files)
             self._finish(f"unexpected {type(message).__name__}")
@@ -131,5 +140,7 @@
 
     def close(self) -> None:
         """Closes the connection to the old process."""
+        if self.exchange is not None:
+            self.exchange.stop()
         self.loop.remove_reader(self.link.fileno())
         self.link.close()
--- a/headspar/handover/old_process.py
+++ b/headspar/handover/old_process.py
@@ -13,8 +13,10 @@
 from typing import Protocol
 
 from headspar.handover import unix_socket
-from headspar.handover.messages import MAX_SOCKETS, Clients, Held, MessageError, No, Offer
+from headspar.handover.id_exchange import IdExchange
+from headspar.handover.messages import MAX_SOCKETS, Clients, Held, Hello, MessageError, No, Offer, Taken
 from headspar.handover.transitions import Action, OldProcessState, old_process_step
+from headspar.node.taken_ids import TakenIds
 
 REPORT_INTERVAL_S = 0.1
 RETRY_S = 0.005  # while the socket to the new process is full
@@ -49,8 +51,9 @@
 class OldProcess:
     """Listens for a new process and hands over to the one that has connected."""
 
-    def __init__(self, process: HandoverHost, loop: asyncio.AbstractEventLoop, path: Path) -> None:
-        self.process, self.loop, self.path = process, loop, path
+    def __init__(self, process: HandoverHost, loop: asyncio.AbstractEventLoop, path: Path, ids: TakenIds) -> None:
+        self.process, self.loop, self.path, self.ids = process, loop, path, ids
+        self.exchange: IdExchange | None = None
         self.state = OldProcessState.ALONE
         self.link: socket.socket | None = None
         self.timer: asyncio.TimerHandle | None = None
@@ -96,6 +99,11 @@
             self.state, action = old_process_step(self.state, message)
             if action is Action.OFFER:
                 self._send_offer(self.link)
+                if isinstance(message, Hello) and message.ids:
+                    self.exchange = IdExchange(self.ids, self.link, self.loop)
+                    self.exchange.start()
+            elif action is Action.RECORD and self.exchange is not None and isinstance(message, Taken):
+                self.exchange.received(message)
             elif action is Action.HAND_OVER:
                 self.process.on_successor_ready()
                 self._hand_over()
@@ -160,6 +168,7 @@
     def _stop(self) -> None:
         """Ends the hand-over after the new process has died or sent an invalid message."""
         self._cancel()
+        self._stop_exchange()
         link, self.link = self.link, None
         if link is not None:
             self.loop.remove_reader(link.fileno())
@@ -173,9 +182,15 @@
         if previous is not OldProcessState.ALONE:
             self.process.on_successor_gone()
 
+    def _stop_exchange(self) -> None:
+        if self.exchange is not None:
+            self.exchange.stop()
+            self.exchange = None
+
     def close(self) -> None:
         """Closes all sockets; removes the socket file unless it is the new process's."""
         self._cancel()
+        self._stop_exchange()
         self.loop.remove_reader(self.sock.fileno())
         self.sock.close()
         if self.link is not None:
--- a/headspar/handover/transitions.py
+++ b/headspar/handover/transitions.py
@@ -8,7 +8,7 @@
 
 from enum import Enum
 
-from headspar.handover.messages import Clients, Held, Hello, Message, No, Offer, Ready
+from headspar.handover.messages import Clients, Held, Hello, Message, No, Offer, Ready, Taken
 
 
 class OldProcessState(Enum):
@@ -34,6 +34,7 @@
     HAND_OVER = "hand over"  # stop accepting and hand connections over
     TAKE = "take"  # use the received sockets
     ADOPT = "adopt"  # serve the received clients
+    RECORD = "record"  # remember the call ids that the other process has taken
     SHARE = "share"  # the old process holds less: raise the limits
     STOP = "stop"  # continue alone
 
@@ -41,11 +42,13 @@
 OLD_PROCESS_TRANSITIONS: dict[tuple[OldProcessState, type[Message]], tuple[OldProcessState, Action]] = {
     (OldProcessState.ALONE, Hello): (OldProcessState.OFFERED, Action.OFFER),
     (OldProcessState.OFFERED, Ready): (OldProcessState.SUCCEEDED, Action.HAND_OVER),
+    (OldProcessState.SUCCEEDED, Taken): (OldProcessState.SUCCEEDED, Action.RECORD),
 }
 NEW_PROCESS_TRANSITIONS: dict[tuple[NewProcessState, type[Message]], tuple[NewProcessState, Action]] = {
     (NewProcessState.ASKED, Offer): (NewProcessState.TAKEN, Action.TAKE),
     (NewProcessState.SERVING, Clients): (NewProcessState.SERVING, Action.ADOPT),
     (NewProcessState.SERVING, Held): (NewProcessState.SERVING, Action.SHARE),
+    (NewProcessState.SERVING, Taken): (NewProcessState.SERVING, Action.RECORD),
 }
 
 
--- a/headspar/process.py
+++ b/headspar/process.py
@@ -150,13 +150,13 @@
         node.lifecycle.move(Cause.STARTED)
         if inherited is not None:
             self.new_process = NewProcess(
-                inherited, loop, adopt=self._adopt, share=self._on_old_process_holds, log=node.log
+                inherited, loop, adopt=self._adopt, share=self._on_old_process_holds, log=node.log, ids=node.taken_ids
             )
             self.new_process.ready()
         path = unix_socket.socket_path(os.environ, config.listen)
         if path is not None:
             try:
-                self.old_process = OldProcess(self, loop, path)
+                self.old_process = OldProcess(self, loop, path, node.taken_ids)
                 self.server.on_idle = self.old_process.on_client_idle
             except OSError as error:
                 node.log(f"hand-over: upgrades from this process may drop connections: {path}: {error.strerror}")
@@ -302,7 +302,8 @@
         self._share(shares.old_process_shares(self.sole_process_share))
         files = [self.socket.fileno()] + ([self.peers_socket.fileno()] if self.peers_socket else [])
         held = self.held_resources()
-        return Offer(len(files) > 1, held.clients, held.backends, held.requests), files, self._encode_learned_state()
+        offer = Offer(len(files) > 1, held.clients, held.backends, held.requests, ids=True)
+        return offer, files, self._encode_learned_state()
 
     def _encode_learned_state(self) -> bytes:
         node = self.node
--- a/tests/handover/test_without_sockets.py
+++ b/tests/handover/test_without_sockets.py
@@ -17,17 +17,38 @@
     No,
     Offer,
     Ready,
+    Taken,
     decode,
     encode,
+    pack_ids,
+    unpack_ids,
 )
 from headspar.handover.transitions import Action, NewProcessState, OldProcessState, new_process_step, old_process_step
 
 MESSAGES: list[tuple[Message, int]] = [
     (Hello("n0"), 0), (Offer(True, 1, 2, 3), 3), (Offer(False, 1, 2, 3), 2), (Ready(), 0), (Clients(5), 5),
-    (Held(1, 2, 3), 0), (No("busy"), 0),
+    (Held(1, 2, 3), 0), (No("busy"), 0), (Hello("n0", ids=True), 0), (Taken("a1\nb2"), 0),
 ]
 
 
+def test_call_ids_are_packed_into_packets_of_bounded_size_and_come_back() -> None:
+    ids = [b"%0200d" % i for i in range(100)] + [bytes([0xff]) * 200] * 50 + [b"short"] * 500
+    rest, found, packets = ids, [], 0
+    while rest:
+        message, count = pack_ids(rest)
+        assert count >= 1 and decode(encode(message), 0) == message  # decode rejects longer packets
+        found += unpack_ids(message)
+        rest, packets = rest[count:], packets + 1
+    assert found == ids and packets < 50
+
+
+def test_ids_that_the_other_process_has_taken_are_recorded_only_while_it_is_there() -> None:
+    assert old_process_step(OldProcessState.SUCCEEDED, Taken("a"))[1] is Action.RECORD
+    assert new_process_step(NewProcessState.SERVING, Taken("a"))[1] is Action.RECORD
+    assert old_process_step(OldProcessState.ALONE, Taken("a"))[1] is Action.STOP
+    assert new_process_step(NewProcessState.ASKED, Taken("a"))[1] is Action.STOP
+
+
 @pytest.mark.parametrize(("message", "sockets"), MESSAGES)
 def test_a_message_comes_back_as_it_was_and_only_with_its_sockets(message: Message, sockets: int) -> None:
     assert decode(encode(message), sockets) == message
@@ -58,13 +79,14 @@
     assert old_process_step(state, Ready()) == (OldProcessState.SUCCEEDED, Action.HAND_OVER)
     assert new_process_step(NewProcessState.ASKED, Offer(False, 0, 0, 0)) == (NewProcessState.TAKEN, Action.TAKE)
     assert new_process_step(NewProcessState.SERVING, Clients(1)) == (NewProcessState.SERVING, Action.ADOPT)
-    allowed = {(OldProcessState.ALONE, Hello), (OldProcessState.OFFERED, Ready)}
+    assert old_process_step(OldProcessState.SUCCEEDED, Taken("a")) == (OldProcessState.SUCCEEDED, Action.RECORD)
+    allowed = {(OldProcessState.ALONE, Hello), (OldProcessState.OFFERED, Ready), (OldProcessState.SUCCEEDED, Taken)}
     for old_state in OldProcessState:
         for message, _ in MESSAGES:
             if (old_state, type(message)) not in allowed:
                 assert old_process_step(old_state, message) == (OldProcessState.ALONE, Action.STOP)
     for new_state in (NewProcessState.ASKED, NewProcessState.TAKEN):
-        for early in (Clients(1), Held(1, 1, 1), Ready(), Hello("x")):
+        for early in (Clients(1), Held(1, 1, 1), Ready(), Hello("x"), Taken("a")):
             assert new_process_step(new_state, early)[1] is Action.STOP
 
 
