--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -162,7 +162,7 @@
         clock[0] = at
         node.pause_detector.heartbeat(at)
         r = core.Request(cast(Any, None))
-        r.cls, r.arrived_at, r.deadline = "look", at, at + S
+        r.call_id, r.cls, r.arrived_at, r.deadline = b"%d" % at, "look", at, at + S
         node.arrived(r)
         node._send(Send(r.key, entry(0).backend), at)
         node._send(Send(r.key, entry(1).backend), at)
