--- a/headspar/node/clients.py
+++ b/headspar/node/clients.py
@@ -7,10 +7,8 @@
 from __future__ import annotations
 
 import asyncio
-import re
 import select
 from collections import deque
-from hashlib import blake2b
 from typing import TYPE_CHECKING, Any, cast
 
 import httptools
@@ -20,6 +18,7 @@
 from headspar.node.core import Request
 from headspar.node.message_limits import MAX_HEAD, MessageLimitError, MessageOverhead
 from headspar.node.paced_input import PacedProtocol
+from headspar.node.request_fields import is_valid_host, read_budget, read_hint, read_target_key
 from headspar.reason_phrases import REASONS
 
 if TYPE_CHECKING:
@@ -42,11 +41,7 @@
 ))
 # All that is used of a head; of other headers only the size counts.
 USED_HEADERS = SINGLETON_HEADERS | {b"content-length", b"transfer-encoding", b"content-type", b"expect"}
-# Characters of a host and port (RFC 3986 sections 3.2.2 and 3.2.3); an empty host is valid.
-NO_HOST_CHARACTER = re.compile(rb"[^A-Za-z0-9._~!$&'()*+;=%:\[\]-]")
 MAX_CALL_ID = 200
-MAX_TARGET_KEY = 200  # bytes; longer keys are replaced by a digest
-KEY_DIGEST_BYTES = 16
 FREE_HEAD_BYTES = 2 * 1024  # of a head; what is kept beyond that counts against the memory for bodies
 QUEUED_REQUEST_BYTES = 1024  # what a request takes that waits behind another one on its connection
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -62,41 +57,6 @@
 }
 
 
-def read_budget(value: bytes) -> int | None:
-    """Parse ``480m`` or ``1500u`` into microseconds; None if it is malformed."""
-    unit = {b"m": 1000, b"u": 1}.get(value[-1:])
-    if unit is None:
-        return None
-    number = value[:-1]
-    if number.isdigit():
-        us = int(number[:12]) * unit
-    else:
-        try:
-            us = int(float(number) * unit)
-        except (ValueError, OverflowError):
-            return None
-    return us if 0 <= us <= 3_600_000_000 else None
-
-
-def read_hint(value: bytes | None) -> int | None:
-    """Return the cost hint in microseconds; None if there is no valid one."""
-    if value is None:
-        return None
-    try:
-        us = int(float(value))
-    except (ValueError, OverflowError):
-        return None
-    return us if 0 <= us <= 3_600_000_000 else None
-
-
-def read_target_key(url: bytes) -> str | None:
-    """Return the last part of the path, or a digest of it that is the same at every node; None if it is empty."""
-    key = url.partition(b"?")[0].rpartition(b"/")[2]
-    if len(key) > MAX_TARGET_KEY:
-        return blake2b(key, digest_size=KEY_DIGEST_BYTES).hexdigest()
-    return key.decode("latin-1") or None
-
-
 class Client(PacedProtocol):
     """One client connection."""
 
@@ -345,7 +305,7 @@
         """Fill in the request from its head. Return the status of a rejection, or 0."""
         get = self.headers.get
         host = get(b"host")
-        if self.duplicate_header or host is None or NO_HOST_CHARACTER.search(host):
+        if self.duplicate_header or host is None or not is_valid_host(host):
             self.node.log("client: Host is missing or not valid, or a singleton header is repeated (RFC 9112 3.2)")
             return 400
         call_id, budget = get(b"x-call-id", b""), read_budget(get(b"x-budget", b""))
--- a/tests/node/test_held_requests.py
+++ b/tests/node/test_held_requests.py
@@ -5,7 +5,7 @@
 import contextlib
 import threading
 
-from headspar.node.clients import MAX_TARGET_KEY
+from headspar.node.request_fields import MAX_TARGET_KEY
 from tests.loopback import Client, running, wait_for
 from tests.node.harness import Side, request, side
 
