Remember ids in two generations, so that nothing is searched for what to forget

Cause: the table of ids removed the oldest entry of a dictionary with each request, and finding the first entry passes over all removed ones.

--- a/headspar/handover/id_exchange.py
+++ b/headspar/handover/id_exchange.py
@@ -27,8 +27,7 @@
 
     def start(self) -> None:
         """Send what is known, and from now on each id that is taken."""
-        now = now_us()
-        self.pending.extend(call_id for call_id, until in self.ids.until.items() if until > now)
+        self.pending.extend(self.ids)
         self.ids.on_taken = self._on_taken
         self._send()
 
--- a/headspar/node/taken_ids.py
+++ b/headspar/node/taken_ids.py
@@ -6,24 +6,36 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
-KEEP_US = 30_000_000  # far longer than any deadline
+KEEP_US = 30_000_000  # far longer than any deadline; an id is forgotten after once to twice this time
 MAX_IDS = 8192
 
 
 class TakenIds:
-    """Ids by the time at which they are forgotten, oldest first; all times in microseconds of one clock."""
+    """Ids in two generations: the newer one takes the place of the older one when it is full or old enough, so that
+    nothing is searched for what to forget. Times are in microseconds of one clock."""
 
-    __slots__ = ("until", "on_taken")
+    __slots__ = ("newer", "older", "next_at", "on_taken")
 
     def __init__(self) -> None:
-        self.until: dict[bytes, int] = {}
+        self.newer: set[bytes] = set()
+        self.older: set[bytes] = set()
+        self.next_at = 0  # when the next generation begins
         self.on_taken: Callable[[bytes], None] | None = None  # told of each id that is taken here
 
+    def __len__(self) -> int:
+        return len(self.newer) + len(self.older)
+
+    def __iter__(self) -> Iterator[bytes]:
+        yield from self.older
+        yield from self.newer
+
     def take(self, call_id: bytes, now: int) -> bool:
         """Record the id of a request that has arrived. Return False if it has been taken before."""
-        if self.until.get(call_id, 0) > now:
+        if now >= self.next_at:
+            self._begin_generation(now)
+        if call_id in self.newer or call_id in self.older:
             return False
         self.add(call_id, now)
         if self.on_taken is not None:
@@ -32,12 +44,16 @@
 
     def add(self, call_id: bytes, now: int) -> None:
         """Record an id, also one that another process of this node has taken."""
-        self.until.pop(call_id, None)
-        self.until[call_id] = now + KEEP_US
-        oldest = next(iter(self.until))
-        if len(self.until) > MAX_IDS or self.until[oldest] <= now:
-            del self.until[oldest]
+        if now >= self.next_at or len(self.newer) >= MAX_IDS // 2:
+            self._begin_generation(now)
+        self.newer.add(call_id)
+
+    def _begin_generation(self, now: int) -> None:
+        both_old = now >= self.next_at + KEEP_US
+        self.older, self.newer = set() if both_old else self.newer, set()
+        self.next_at = now + KEEP_US
 
     def release(self, call_id: bytes) -> None:
         """Forget the id of a request that never ran and was refused: it may come again."""
-        self.until.pop(call_id, None)
+        self.newer.discard(call_id)
+        self.older.discard(call_id)
