--- a/headspar/node/clients.py
+++ b/headspar/node/clients.py
@@ -183,8 +183,8 @@
             elif self.reading and not self.partial_since and not self.ignoring_input:
                 self.partial_since = self.last_received_at
                 self.server.slow[self] = None
-            if self.unread_since and (self.incoming is not None or not self._polled(select.POLLIN)):
-                self.unread_since = 0  # otherwise requests are left that may have arrived before the pause
+            if self.unread_since or self.hidden_since:
+                self._note_what_is_left()
             if len(self.queue) > MAX_PIPELINED and not self.ignoring_input:
                 self.pause_reading()
 
@@ -207,9 +207,17 @@
         if not self.hidden_since:
             self.hidden_since = now_us()
 
+    def _note_what_is_left(self) -> None:
+        """After a read: if nothing is left, all further input is new, and a close would be seen."""
+        drained = not self._polled(select.POLLIN)
+        if drained:
+            self.hidden_since = 0
+        if drained or self.incoming is not None:
+            self.unread_since = 0  # otherwise requests are left that may have arrived before the pause
+
     def on_reading_resumed(self) -> None:
         if not self._polled(select.POLLIN):
-            self.unread_since = 0
+            self.unread_since = self.hidden_since = 0
         self.last_received_at = now_us()
 
     def _continue_parsing(self, rest: bytes | memoryview) -> None:
--- a/tests/node/test_client_crossings.py
+++ b/tests/node/test_client_crossings.py
@@ -10,7 +10,7 @@
 import pytest
 
 from headspar.node import clients
-from headspar.node.clients import MAX_PIPELINED, QUEUED_REQUEST_BYTES
+from headspar.node.clients import HIDDEN_CLOSE_US, MAX_PIPELINED, QUEUED_REQUEST_BYTES
 from headspar.node.clock import now_us
 from tests.loopback import answer, running, wait_for
 from tests.node.harness import SOURCE, request, side
@@ -186,6 +186,20 @@
         assert client.queue[-1].arrived_at == 5_000_000  # type: ignore[union-attr]
 
 
+def test_a_pause_in_reading_that_left_nothing_unread_refuses_nobody_later(monkeypatch: pytest.MonkeyPatch) -> None:
+    with side() as s:
+        now = 1_000_000
+        monkeypatch.setattr(clients, "now_us", lambda: now)
+        client, transport = s.client()
+        client.data_received(request("1"))
+        client.stream_begin(SOURCE, -1, b"")
+        client.stream_end(True)
+        now += 5 * HIDDEN_CLOSE_US
+        transport.there.sendall(request("3"))  # arrives while the one before it is read
+        client.data_received(request("2"))
+        assert s.node.ids() == [b"1", b"2"]
+
+
 # ---------------------------------------------------------------- streamed answers
 
 
