--- a/headspar/node/backend_connection.py
+++ b/headspar/node/backend_connection.py
@@ -29,6 +29,8 @@
 # A long answer must not be held back for 2 s, and its first byte is due by the client's deadline.
 MAX_HOLD_US = 1_000_000
 DEADLINE_MARGIN_US = 50_000
+TRICKLE_AFTER_US = 2_000_000  # beyond the deadline
+TRICKLE_US_PER_BYTE = 32  # 32 kB a second; slow peers write 64 kB
 
 
 class Connection(PacedProtocol):
@@ -39,6 +41,7 @@
         "closed", "uses", "last_answer_at", "parser", "status", "rejected", "framed", "length", "report",
         "content_type", "body", "size", "overhead", "in_body", "complete", "keep_alive", "excess_input",
         "streaming", "budgeted", "hold_timer",
+        "waited_for_client",
     )
 
     def __init__(self, pool: Backends, host: Host, number: int) -> None:
@@ -69,6 +72,7 @@
         self.content_type = b""
         self.body: list[bytes] = []
         self.budgeted = 0  # bytes of the body that count against the budget
+        self.waited_for_client = False  # the client has read more slowly than the backend wrote
 
     # ------------------------------------------------------------ connection lifecycle
 
@@ -232,6 +236,19 @@
             self._begin_streaming(attempt, client)
         return self.streaming
 
+    def trickles(self, now: int) -> bool:
+        """Return whether a streamed answer comes so slowly that it may have no end; not if its client is slow."""
+        attempt = self.attempt
+        if attempt is None or self.waited_for_client:
+            return False
+        since = max(attempt.first_at, attempt.request.deadline)
+        return now - since > TRICKLE_AFTER_US + self.size * TRICKLE_US_PER_BYTE
+
+    def pause_reading(self) -> None:
+        """Stop reading, because the client has not read what has been passed on."""
+        self.waited_for_client = True
+        super().pause_reading()
+
     def _begin_streaming(self, attempt: Attempt, client: Client) -> None:
         if not self.pool.node.stream_started(attempt):
             return
--- a/headspar/node/backends.py
+++ b/headspar/node/backends.py
@@ -303,10 +303,10 @@
             self._open(self.hosts[id], number)
 
     def sweep(self, now: int) -> None:
-        """End streamed answers that have stalled."""
+        """End streamed answers that have stalled, or trickle without an end."""
         for conn in list(self.connections.values()):
             attempt = conn.attempt
             if attempt is not None and conn.streaming and not conn.reading_paused and not conn.resting:
-                if now - conn.last_received_at > STREAM_STALL_US:
+                if now - conn.last_received_at > STREAM_STALL_US or conn.trickles(now):
                     attempt.reason = EndReason.STREAM_STALLED
                     self.node.end(attempt, Outcome.TIMEOUT)
--- a/tests/node/test_slow_answers.py
+++ b/tests/node/test_slow_answers.py
@@ -108,3 +108,18 @@
 
     with running(breaks, lambda sock, n: sock.sendall(answer())) as node:
         assert [node.client().ask().status for _ in range(6)] == [200] * 6
+
+
+def test_an_answer_that_trickles_without_an_end_is_broken_off() -> None:
+    def script(sock: socket.socket, n: int) -> None:
+        sock.sendall(HEADS["chunked"])
+        end = time.monotonic() + TIMEOUT_S
+        while time.monotonic() < end:
+            sock.sendall(frame("chunked", b"x" * 100))
+            time.sleep(0.05)
+        sock.sendall(b"0\r\n\r\n")
+
+    with running(script) as node, node.client() as client:
+        client.send(client.head("crew", budget=BUDGET))
+        got = client.read()
+        assert got.status == 200 and not got.complete
