--- a/review/6/case.py
+++ b/review/6/case.py
@@ -53,6 +53,7 @@
                one_class("cierre-caja", "fragile", 5000, aim_ms=1000)]
     node = Node(record, work, discovery.address, discovery.whole(), settings(classes))
     statuses: dict[int, int] = {}
+    done = asyncio.Event()
     try:
         await node.start()
         await node.ready()
@@ -60,7 +61,7 @@
 
         async def usual(number: int) -> None:
             client, turn = await Client.connect(node.address), 0
-            while True:
+            while not done.is_set():
                 await asyncio.sleep(max(0.0, began + (turn * CONNECTIONS + number) / RATE - time.monotonic()))
                 turn += 1
                 got = await client.ask(request("consultar-deuda", new_id(), "2000m", safe=True, cost_us=2000), 3.0)
@@ -93,9 +94,8 @@
             await asyncio.sleep(0.25)
         results = await asyncio.gather(*waiting)
         rate = sum(statuses.values()) / (time.monotonic() - began)
-        for task in load:
-            task.cancel()
-        await asyncio.gather(*load, return_exceptions=True)
+        done.set()
+        await asyncio.gather(*load)
         record.write(f"{rate:.0f} requests a second, answers by status: {statuses}")
         if rate < 0.9 * RATE:
             raise CannotRun(f"only {rate:.0f} requests a second")
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -25,14 +25,14 @@
     await agent.open()
     classes = [one_class("consultar-deuda", "retryable", 2000)]
     node = Node(record, work, agent.address, agent.whole(), settings(classes, mode="automatic"))
-    drained = backends[0]
+    drained, done = backends[0], asyncio.Event()
     try:
         await node.start()
         await node.ready()
 
         async def usual() -> None:
             client = await Client.connect(node.address)
-            while True:
+            while not done.is_set():
                 call_id = new_id()
                 got = await client.ask(request("consultar-deuda", call_id, "2000m", safe=True), 3.0)
                 record.write("client gets", call_id, got[0] if got else "nothing")
@@ -50,8 +50,8 @@
         await agent.publish(drained.row("draining"))  # what the agent gets at the return of discovery
         at = record.now()
         await asyncio.sleep(16.0)
-        load.cancel()
-        await asyncio.gather(load, return_exceptions=True)
+        done.set()
+        await load
         after = [when - at for when, _ in drained.requests if when > at]
         late = [s for s in after if s > TOLD_S + GRACE_S]
         record.write(f"sent to {drained.id} after the agent had its drain: {len(after)},"
--- a/review/standins.py
+++ b/review/standins.py
@@ -212,9 +212,8 @@
                 since, wait = int(query["since"]), min(60_000, int(query["timeout_ms"])) / 1000
                 async with self.changed:
                     with contextlib.suppress(TimeoutError):
-                        await asyncio.wait_for(
-                            self.changed.wait_for(lambda since=since: self.generation > since), wait
-                        )
+                        async with asyncio.timeout(wait):
+                            await self.changed.wait_for(lambda since=since: self.generation > since)
                 rows = [row for at, row in self.changes if at > since]
                 body = {"generation": self.generation, "reset": False, "instances": rows}
             else:
@@ -301,7 +300,8 @@
         """Send a request; return status, fields and body of the whole answer, None if there is none in time."""
         try:
             self.writer.write(request)
-            return await asyncio.wait_for(self._read(), wait_s)
+            async with asyncio.timeout(wait_s):  # wait_for can lose a cancellation
+                return await self._read()
         except (TimeoutError, asyncio.IncompleteReadError, ConnectionError):
             self.close()
             return None
