Review, case 8: a drain told in an answer without a length is never applied

Change: a case in which discovery's answers end with their connection. It takes the place of unknown classes, which was the lesser case.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""A bad client sends requests of a class that doesn't exist."""
+"""Discovery's answers have no length and end with their connection; a backend drains."""
 
 from __future__ import annotations
 
@@ -23,40 +23,52 @@
     settings,
 )
 
+QUIET_S = 12.0  # the first watch begins within 4 s; it is asked for every 10 s at least
+WATCHED_S = 20.0
+TOLD_S = 6.0  # after the change at the latest, by the most lenient sentence of the pages
+GRACE_S = 1.0 + 0.05 + 0.15  # the grace of a drain, the slack of sockets, a node that is held up
+
 
 async def case(record: Record, work: Path, trouble: bool) -> bool:
-    backends = [Backend(record, f"s-{i}") for i in range(3)]
+    backends = [Backend(record, f"s-{i}") for i in range(4)]
     for backend in backends:
         await backend.open()
     discovery = Discovery(record, [b.row() for b in backends])
+    discovery.ends_by_close = trouble
     await discovery.open()
-    classes = [one_class("consultar-deuda", "retryable", 2000), one_class("registrar-pago", "dedup", 1200, 1200),
-               one_class("cierre-caja", "fragile", 5000, aim_ms=1000)]
-    node = Node(record, work, discovery.address, discovery.whole(), settings(classes))
-    served = 0
+    node = Node(record, work, discovery.address, discovery.whole(),
+                settings([one_class("consultar-deuda", "retryable", 2000)]))
+    drained, done = backends[0], asyncio.Event()
     try:
         await node.start()
         await node.ready()
-        usual = await Client.connect(node.address)
-        for _ in range(20):
-            call_id = new_id()
-            got = await usual.ask(request("registrar-pago", call_id, "1200m", key=new_id()), 3.0)
-            record.write("client: registrar-pago", call_id, got[0] if got else "nothing")
-            if got is None or got[0] != 200:
-                raise CannotRun("a usual request was not served")
-            if trouble:
-                for name in ("pago-directo", "registrar-pagos"):
-                    call_id = new_id()
-                    bad = await Client.connect(node.address)
-                    reply = await bad.ask(request(name, call_id, "1200m", key=new_id()), 3.0)
-                    runs = sum(x == call_id for b in backends for _, x in b.requests)
-                    record.write(f"bad client: {name}", call_id, f"run {runs} times,",
-                                 f"answer {reply[0]} {reply[2].decode()}" if reply else "closed")
-                    served += reply is not None and reply[0] == 200
-                    bad.close()
-            await asyncio.sleep(0.05)
-        record.write(f"bad clients served with an answer: {served}")
-        return not served
+
+        async def usual() -> None:
+            client = await Client.connect(node.address)
+            while not done.is_set():
+                call_id = new_id()
+                got = await client.ask(request("consultar-deuda", call_id, "2000m", safe=True), 3.0)
+                record.write("client gets", call_id, got[0] if got else "nothing")
+                if not client.open:
+                    client = await Client.connect(node.address)
+                await asyncio.sleep(0.05)
+
+        load = asyncio.create_task(usual())
+        await asyncio.sleep(QUIET_S)
+        await discovery.publish(drained.row("draining"))
+        at = record.now()
+        await asyncio.sleep(WATCHED_S)
+        done.set()
+        await load
+        after = [when - at for when, _ in drained.requests if when > at]
+        late = [s for s in after if s > TOLD_S + GRACE_S]
+        answers = sum(when > at for when in discovery.told)
+        record.write(f"discovery has written {answers} answers with the drain; sent to {drained.id} after it:"
+                     f" {len(after)}, the last {max(after, default=0.0):.2f} s after it;"
+                     f" later than {TOLD_S + GRACE_S:.2f} s: {len(late)}")
+        if not answers:
+            raise CannotRun("the node has not called discovery")
+        return not late
     finally:
         await node.kill()
 
--- a/review/standins.py
+++ b/review/standins.py
@@ -178,6 +178,8 @@
         self.changed = asyncio.Condition()
         self.silent = False
         self.era = 0  # of silence: calls of an earlier one are never answered
+        self.told: list[float] = []  # when answers with entries were written
+        self.ends_by_close = False  # its answers have no length and end with their connection
 
     def whole(self) -> dict[str, Any]:
         return {"generation": self.generation, "reset": True, "instances": list(self.rows.values())}
@@ -220,10 +222,16 @@
                 body = self.whole()
             if self.silent or era != self.era:
                 continue
-            writer.write(response(json.dumps(body).encode()))
+            data = json.dumps(body).encode()
+            head = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nConnection: close\r\n\r\n"
+            writer.write(head + data if self.ends_by_close else response(data))
             if body["instances"]:
+                self.told.append(self.record.now())
                 self.record.write("told", self.generation, *(r["instanceId"] + "=" + r["lifecycle"]
                                                              for r in body["instances"]))
+            if self.ends_by_close:
+                await writer.drain()
+                return
 
 
 class Node:
