--- a/review/standins.py
+++ b/review/standins.py
@@ -259,7 +259,7 @@
         env = dict(self.env, **({"ROUTER_OPS": ops} if ops else {}))
         with (self.folder / "node.log").open("ab") as log:
             process = await asyncio.create_subprocess_exec("/bin/sh", "-c", run, cwd=ROOT, env=env, stdout=log,
-                                                           stderr=log, start_new_session=True)
+                                                           stderr=log)
         self.processes.append(process)
         self.record.write("node: started", process.pid)
         return process
@@ -359,13 +359,22 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write("trouble", int(trouble))
     work = Path(tempfile.mkdtemp(prefix="review-"))
+    status = 2
+
+    async def limited() -> bool:
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        async with asyncio.timeout(LIMIT_S):
+            return await case(record, work, trouble)
+
     try:
-        held = asyncio.run(asyncio.wait_for(case(record, work, trouble), LIMIT_S))
+        held = asyncio.run(limited())
         record.write("held" if held else "BROKEN")
         status = 0 if held else 1
-    except (CannotRun, OSError, TimeoutError) as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.write("could not run:", type(error).__name__, error)
-        status = 2
     finally:
         log = work / "node.log"
         if log.exists():
