Review, case 8: the record tells how the memory grows

Cause: the watch ran in the loop that the stand-in keeps busy, so the record had the first and the last figure alone.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import sys
+import threading
 from pathlib import Path
 
 sys.dont_write_bytecode = True
@@ -68,21 +69,23 @@
     await discovery.open()
     classes = [one_class("cierre-caja", "fragile", 5000, aim_ms=1000)]
     node = Node(record, work, discovery.address, discovery.whole(), settings(classes), memory_mb=MEMORY_MB)
-    most = 0.0
+    most, ended = 0.0, threading.Event()
     try:
         process = await node.start()
         await node.ready()
 
-        async def watch() -> None:
+        def watch() -> None:
+            """In a thread, as the backend keeps the stand-ins' own loop busy."""
             nonlocal most
-            while True:
+            noted = 0.0
+            while not ended.wait(0.02):
                 now = private_mb(process.pid)
-                if now > most + 10.0:
+                if now > noted + 10.0:
                     record.write(f"private memory: {now:.0f} MB")
+                    noted = now
                 most = max(most, now)
-                await asyncio.sleep(0.02)
 
-        watcher = asyncio.create_task(watch())
+        threading.Thread(target=watch, daemon=True).start()
         client = await Client.connect(node.address)
         ids = ["1ong" + new_id()[4:], new_id()]
         # Without the disruption the second command is sent when the first is answered, as clients usually do.
@@ -93,12 +96,14 @@
         if client.open:
             got = await client.ask(b"" if trouble else request("cierre-caja", ids[1], "5000m"), 10.0)
             record.write("client gets", ids[1], got[0] if got else "nothing")
-        watcher.cancel()
+        most = max(most, private_mb(process.pid))
+        ended.set()
         record.write(f"most private memory: {most:.0f} MB of {MEMORY_MB}")
         if process.returncode is not None:
             raise CannotRun("the node has ended")
         return most <= MEMORY_MB
     finally:
+        ended.set()
         await node.kill()
 
 
