--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,7 +1,7 @@
 """An interim (1xx) answer comes while the body of an unsafe request is written, beside ordinary traffic.
 
-What the sockets between node and backend hold is not known beforehand: the backend rests with more and more of the body
-left, until the node still has something to write when the interim answer comes.
+What the sockets between node and backend hold is not known beforehand: the backend rests with more and more of the
+body left, until the node still has something to write when the interim answer comes.
 """
 
 from __future__ import annotations
@@ -60,7 +60,7 @@
             left = await self._read(reader, left, rest_at)
             if rest_at and left == rest_at:
                 await asyncio.sleep(RESTS_S)
-                self.record.write(self.id, call_id, f"{left} bytes to come;", "interim answer" if self.interim else "")
+                self.record.write(self.id, call_id, left, "bytes to come;", "interim answer" if self.interim else "")
                 writer.write(self.interim)
                 left = await self._read(reader, left, 0)
             if left:
