--- a/review/6/case.py
+++ b/review/6/case.py
@@ -68,8 +68,7 @@
                 self.record.write(self.id, call_id, f"the connection has ended, {left} bytes are missing: not run")
                 return
             self.requests.append((self.record.now(), call_id))
-            if large:
-                self.record.write("run", self.id, call_id)
+            self.record.write("run", self.id, call_id, "large" if large else "")
             await asyncio.sleep(self.work_s)
             writer.write(response(call_id.encode()))
 
@@ -111,6 +110,7 @@
                 while not done.is_set():
                     got = await client.ask(request("consultar-deuda", new_id(), "2000m", safe=True), 3.0)
                     served += got is not None and got[0] == 200
+                    record.write("lookup answered", got[0] if got else "not")
                     if not client.open:
                         client = await Client.connect(node.address)
 
