An attempt that ends as never sent lets no further byte of its request out

Cause: an attempt ends as CONNECT_FAILED, MOOT or FULL while its transport still holds bytes, and the balancer may send the request again. The connection was ended with transport.abort(), which takes effect in the next iteration of the loop: until then the transport writes on when its socket is writable, in the same event in which the early bytes were read. The last byte went out behind an end that says it never did.

Evidence: tests/node/test_unsent_requests.py holds the last 150 kB of a body back, makes the socket writable without a run of the loop, and lets early bytes, a rejection or the time for repeats end the attempt.

Change: a connection that is closed while its request is not written whole has its sending side shut down at once, so that what the node says of the attempt is true from that moment on. It costs one system call for each such close, and nothing otherwise.

--- a/headspar/node/backend_connection.py
+++ b/headspar/node/backend_connection.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import select
+import socket
 from typing import TYPE_CHECKING, Any, cast
 
 import httptools
@@ -154,6 +155,8 @@
             self.pool.trace_close(self, reason)
             self.pool.lost(self, False, self.silent and not self.unsent)
             if self.transport is not None:
+                if self.unsent:
+                    stop_sending(self.transport)
                 self.transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -384,6 +387,22 @@
         self.last_received_at = now_us()
 
 
+def stop_sending(transport: asyncio.Transport) -> None:
+    """Let nothing more out that the transport has not written yet.
+
+    An aborted transport writes on until the loop closes it. A request whose last byte went out by then may run,
+    though its attempt has ended as never sent.
+    """
+    descriptor = transport.get_extra_info("socket").fileno()
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, 0, fileno=descriptor)
+    try:
+        sock.shutdown(socket.SHUT_WR)
+    except OSError:
+        pass  # the connection has already broken
+    finally:
+        sock.detach()
+
+
 def read_report(value: bytes, fields: tuple[str, ...]) -> dict[str, float] | None:
     """Parse the named fields of a load report; fields that cannot be parsed are left out."""
     report = {}
