Responses of backends and of discovery are read by one class

Cause: node/discovery.py read HTTP by rules of its own. Only a length or a last chunk completed a call; the end of the connection failed it. Other places of the same class, found by sending all forms to both readers: bytes behind an answer stopped the reading of a connection on which the next call was made, so that the watch waited until its time was up; bytes between two calls were taken for the next call's answer; a response in "gzip, chunked" was passed on as if its content were plain, while such a request is turned down with 501.

Change: node/http_response.py owns the framing, the end and the reuse of a connection, for both. A response without a length ends with a close, never with a reset; a connection with excess input carries no further call; codings besides chunked make a response unusable.

Evidence: tests/node/test_response_forms.py, 12 whole and 11 other forms, in pieces of 1 and 7 bytes and whole, at both readers.

--- a/headspar/node/backend_connection.py
+++ b/headspar/node/backend_connection.py
@@ -9,7 +9,7 @@
 import asyncio
 import select
 import socket
-from typing import TYPE_CHECKING, Any, cast
+from typing import TYPE_CHECKING, cast
 
 import httptools
 
@@ -17,8 +17,8 @@
 from headspar.node.body_pieces import Piece, append_piece
 from headspar.node.clock import now_us
 from headspar.node.core import Attempt
-from headspar.node.message_limits import MessageLimitError, MessageOverhead
-from headspar.node.paced_input import PacedProtocol
+from headspar.node.http_response import ResponseProtocol
+from headspar.node.message_limits import MessageLimitError
 from headspar.node.trace import CloseReason, EndReason
 
 if TYPE_CHECKING:
@@ -36,14 +36,12 @@
 TRICKLE_US_PER_BYTE = 32  # 32 kB a second; slow peers write 64 kB
 
 
-class Connection(PacedProtocol):
+class Connection(ResponseProtocol):
     """One connection to a backend, from its creation to its close."""
 
     __slots__ = (
-        "pool", "host", "number", "poller", "attempt", "unsent", "silent", "last_received_at",
-        "closed", "uses", "last_answer_at", "parser", "status", "rejected", "framed", "length", "report",
-        "content_type", "body", "size", "overhead", "in_body", "complete", "keep_alive", "excess_input",
-        "streaming", "budgeted", "hold_timer",
+        "pool", "host", "number", "poller", "attempt", "unsent", "silent", "last_received_at", "closed", "uses",
+        "last_answer_at", "rejected", "report", "content_type", "body", "size", "streaming", "budgeted", "hold_timer",
         "waited_for_client",
     )
 
@@ -57,21 +55,13 @@
         self.last_answer_at = 0  # when its last attempt ended, us
         self.last_received_at = 0
         self.silent = True  # no byte has been received since the last request
-        self.parser: Any = httptools.HttpResponseParser(self)
-        self.overhead = MessageOverhead()
         self.budgeted = 0  # bytes of the answer that count against the budget
         self.hold_timer: asyncio.TimerHandle | None = None  # until the answer is passed on before it is complete
-        self._reset()
 
-    def _reset(self) -> None:
-        self.overhead.restart()
-        self._reset_response()
-
-    def _reset_response(self) -> None:
-        self.status = self.size = 0
-        self.length = -1
-        self.rejected = self.framed = self.in_body = False
-        self.complete = self.keep_alive = self.excess_input = self.streaming = False
+    def reset_response(self) -> None:
+        super().reset_response()
+        self.size = 0  # bytes of the content
+        self.rejected = self.streaming = False
         self.report: dict[str, float] | None = None
         self.content_type = b""
         self.body: list[Piece] = []
@@ -139,8 +129,8 @@
         if transport is None:
             return
         if not self.closed:
-            if self.complete and not self.unsent and not self.excess_input and self.keep_alive:
-                self._reset()
+            if self.reusable() and not self.unsent:
+                self.expect_response()
                 self.pool.put_back(self)
             else:
                 self.close(self._why_not_kept())
@@ -169,8 +159,8 @@
         if attempt is None:
             self.parser = None
             return
-        if self.in_body and not self.framed and exc is None and self.status == 200:
-            self._finish(Outcome.OK)  # an answer without a length ends with its connection
+        if self.status == 200 and self.ends_with_connection(exc):
+            self._finish(Outcome.OK)
         elif self.in_body and self.status != 200:
             self._finish(self._outcome())
         elif self.unsent:
@@ -193,14 +183,10 @@
         now = now_us()
         self.last_received_at = self.host.last_received_at = now
         self.silent = False
-        self.overhead.received(len(data))
-        try:
-            self.parser.feed_data(data)
-        except Exception as error:
-            if not self.complete:
-                self._finish_unparsable(error)
-                return
-            self.excess_input = True
+        error = self.parse(data)
+        if error is not None:
+            self._finish_unparsable(error)
+            return
         if self.attempt is not attempt:
             return  # the data has ended the attempt
         if self.streaming:
@@ -343,21 +329,8 @@
                 self._forward()
             self.pool.node.end(attempt, outcome, self.body, self.content_type, self.report)
 
-    def on_message_begin(self) -> None:
-        if self.complete:
-            self.excess_input = True
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        self.overhead.field()
-        if self.complete or self.in_body:  # in the body: a trailer field
-            return
-        name, value = name.lower(), value.strip()
-        if name == b"content-length":
-            self.framed = True
-            self.length = int(value)
-        elif name == b"transfer-encoding":
-            self.framed = True
-        elif name == b"content-type":
+    def on_field(self, name: bytes, value: bytes) -> None:
+        if name == b"content-type":
             self.content_type = value
         elif name == b"x-rejected":
             self.rejected = value == b"1"
@@ -365,23 +338,11 @@
             self.report = read_report(value, self.pool.node.settings.report_fields)
 
     def on_headers_complete(self) -> None:
-        if self.complete:
-            return
-        status = self.parser.get_status_code()
-        if status < 200:
-            return
-        self.overhead.head_complete()
-        self.status, self.in_body = status, True
-        if status == 200 and self.length > MAX_BODY:
+        super().on_headers_complete()
+        if self.status == 200 and self.length > MAX_BODY:
             self.size = self.length
 
-    def on_chunk_header(self) -> None:
-        self.overhead.chunk()
-
-    def on_body(self, data: bytes) -> None:
-        self.overhead.content(len(data))
-        if self.complete:
-            return
+    def on_content(self, data: bytes) -> None:
         self.size += len(data)
         if self.status == 200 and self.size <= MAX_BODY:
             append_piece(self.body, data)
@@ -393,16 +354,6 @@
         if client is not None and data:
             client.stream_write(data)
 
-    def on_message_complete(self) -> None:
-        if self.complete:
-            return
-        if self.status:
-            self.complete = True
-            self.keep_alive = self.parser.should_keep_alive()  # read it here: after this callback it is always False
-        else:
-            self._reset_response()
-            self.overhead.interim_complete()
-
     def on_reading_resumed(self) -> None:
         self.last_received_at = now_us()
 
--- a/headspar/node/discovery.py
+++ b/headspar/node/discovery.py
@@ -13,16 +13,14 @@
 import time
 from typing import Any, cast
 
-import httptools
-
 from headspar.config import Address, ConfigError, parse_address
 from headspar.interface import BackendEntry, BackendList, Health, ListKind, Settings
 from headspar.node.backends import Backends
 from headspar.node.chain import AGAIN_US, PATIENCE_US, Chain, Then
 from headspar.node.clock import now_us
 from headspar.node.core import Node
-from headspar.node.message_limits import MessageOverhead
-from headspar.node.paced_input import TURN_US, PacedProtocol
+from headspar.node.http_response import ResponseProtocol
+from headspar.node.paced_input import TURN_US
 
 CONNECT_TIMEOUT_US = 1_000_000
 MAX_ANSWER_BYTES = 4 * 1024 * 1024  # some 16,000 entries
@@ -34,26 +32,29 @@
 STATES = {health: name for name, health in HEALTHS.items()}
 
 
-class Call(PacedProtocol):
+class Call(ResponseProtocol):
     """One connection to discovery, which carries one call at a time."""
 
     def __init__(self, owner: Discovery) -> None:
         super().__init__(owner.node.input_turns)
         self.owner = owner
-        self.overhead = MessageOverhead()
         self.body = bytearray()
         self.in_flight = False
-        self.keep_alive = True
-        self.parser = httptools.HttpResponseParser(self)
+        self.used = False  # a call has been made
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
 
+    def may_ask(self) -> bool:
+        """Return whether a call can be made on this connection."""
+        open_ = self.transport is not None and not self.transport.is_closing()
+        return open_ and (not self.used or self.reusable())
+
     def ask(self, path: str) -> None:
         assert self.transport is not None
         self.body.clear()
-        self.overhead.restart()
-        self.in_flight = True
+        self.expect_response()
+        self.in_flight = self.used = True
         host, port = self.owner.address
         self.transport.write(f"GET {path} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode())
 
@@ -63,48 +64,37 @@
             self.transport.abort()
 
     def data_received(self, data: bytes | memoryview) -> None:
-        self.overhead.received(len(data))
-        try:
-            self.parser.feed_data(data)
-        except Exception as error:
-            self._give_up(f"malformed answer: {error.__context__ or error}")
+        if not self.in_flight:
+            self.excess_input = True  # it belongs to no call
             return
-        if self.overhead.too_large() or len(self.body) > MAX_ANSWER_BYTES:
+        error = self.parse(data)
+        if error is not None:
+            self._give_up(f"malformed answer: {error.__context__ or error}")
+        elif self.complete:
+            self._answered()
+        elif self.overhead.too_large() or len(self.body) > MAX_ANSWER_BYTES:
             self._give_up("answer too large")
 
+    def _answered(self) -> None:
+        self._complete(bytes(self.body) if self.status == 200 else None, f"status {self.status}")
+
     def _give_up(self, reason: str) -> None:
         """End the call; what still comes on this connection is not read."""
         self._complete(None, reason)
         self.pause_reading()
 
-    def on_header(self, name: bytes, value: bytes) -> None:
-        self.overhead.field()
-
-    def on_headers_complete(self) -> None:
-        if self.parser.get_status_code() >= 200:
-            self.overhead.head_complete()
-
-    def on_chunk_header(self) -> None:
-        self.overhead.chunk()
-
-    def on_body(self, data: bytes) -> None:
-        self.overhead.content(len(data))
+    def on_content(self, data: bytes) -> None:
         self.body += data
 
-    def on_message_complete(self) -> None:
-        status = self.parser.get_status_code()
-        if status < 200:
-            self.overhead.interim_complete()
-            return
-        self.keep_alive = self.parser.should_keep_alive()
-        self._complete(bytes(self.body) if status == 200 else None, f"status {status}")
-
     def connection_lost(self, exc: Exception | None) -> None:
         # The owner keeps this call: an answer received before the connection ended, or the failure, is still to be
         # processed. If the owner gave the call up here, both would be ignored and the watch would stop until its wait
         # had run out.
         self.transport = None
-        self._complete(None, "connection lost")
+        if self.ends_with_connection(exc):
+            self._answered()
+        else:
+            self._complete(None, "connection lost")
 
     def _complete(self, body: bytes | None, reason: str) -> None:
         if self.in_flight:
@@ -182,9 +172,11 @@
         path = "/v1/servers"
         if not self.watch_state.whole:
             path += f"?since={self.generation}&timeout_ms={self.watch_state.wait_us // 1000}"
-        if self.call is not None and self.call.transport is not None and not self.call.transport.is_closing():
+        if self.call is not None and self.call.may_ask():
             self.call.ask(path)
         else:
+            if self.call is not None:
+                self.call.close_unused()
             self.task = self.node.loop.create_task(self._connect(path))
 
     async def _connect(self, path: str) -> None:
@@ -247,9 +239,9 @@
             return
         self.watch_state.answered()
         self._stop_timer()
-        if not call.keep_alive and call.transport is not None:
+        if not call.reusable():
             self.call = None
-            call.transport.abort()
+            call.close_unused()
         self._ask_later(now_us() - began_at)
 
     def _ask_later(self, spent_us: int) -> None:
