A call to discovery that is never answered ends in time for another one

Cause: each failure doubled the wait of the next call up to ask_every_us, 10 s there. A call that was made just before discovery came back is never answered, and was given up 10.75 s later; a change counts as delivered 6 s after discovery had it and could be reached. Where the balancer starts the watch again, its pause of up to 3 s comes on top.

Change: the longest wait is what is left of these 6 s without the patience, a new connection and the pause before the next call: 4.25 s where lists are pushed, 1.75 s elsewhere. Without failures the waits stay as they were where the grace of a drain is 1 s.

--- a/headspar/node/chain.py
+++ b/headspar/node/chain.py
@@ -3,8 +3,9 @@
 
 The next call goes out as soon as an answer has arrived, so that no change is missed in between. A call that is not
 answered in time is retried once, on a new connection; a call that fails ends the watch. Short waits detect a silent
-connection sooner but cost more calls. Each answer shortens the next wait and each failure doubles it: when discovery
-is overloaded, fewer calls help it more than the quick detection of a silent connection helps this node.
+connection sooner but cost more calls. Each answer shortens the next wait and each failure doubles it, up to what the
+delivery of a change allows: a call made while discovery was down is never answered, and has to end in time for
+another one after discovery is back.
 """
 
 from __future__ import annotations
@@ -19,7 +20,9 @@
 DELIVERY_US = 2_000_000
 PATIENCE_US = 750_000  # how long an answer may take beyond the call's wait
 RECONNECT_US = 500_000
-MAX_WAIT_US = 60_000_000
+# A change counts as delivered this long after discovery had it and could be reached, whatever failed before.
+DELIVERY_AFTER_FAILURE_US = 6_000_000
+RETRY_PAUSE_US = 3_000_000  # longest time until the balancer starts a new watch after a failed call
 AGAIN_US = 500_000  # pause before the local agent is called again
 
 
@@ -48,7 +51,10 @@
         """Apply new settings from the next call on: the waits, and whether the balancer starts watches or an agent
         pushes lists."""
         self.asked = rules.must_subscribe
-        self.max_wait_us = min(MAX_WAIT_US, rules.ask_every_us)
+        pause_us = RETRY_PAUSE_US if self.asked else AGAIN_US
+        self.max_wait_us = min(
+            rules.ask_every_us, DELIVERY_AFTER_FAILURE_US - PATIENCE_US - RECONNECT_US - pause_us
+        )
         self.min_wait_us = max(
             1_000_000, min(self.max_wait_us, DELIVERY_US + rules.drain_grace_us - PATIENCE_US - RECONNECT_US)
         )
