The id of an open request is known for as long as the request is open

Cause: nothing but a table of two generations knew of taken ids, and it begins a new one every 4,096 ids. At 1,250 a second an id is forgotten 3.3 to 6.6 s after it came, and requests are open for up to 5 s.

Change: the table holds the ids of open requests beside the generations, until the request has ended with all its attempts. A full generation is followed by the next one after 6 s at the earliest, up to 32,768 ids in both: the other process of an upgrade tells its ids and not how long they are open.

--- a/headspar/node/core.py
+++ b/headspar/node/core.py
@@ -280,6 +280,7 @@
         r.attempt_limit = self.settings.max_attempts
         r.proven_only = r.cls not in self.backends.repeatable
         self.requests[r.key] = r
+        self.taken_ids.opened(r.call_id, r)
         if r.deadline <= now:  # it waited in the socket during a pause for longer than its budget
             self.answer(r, 504)
             return
@@ -357,6 +358,7 @@
     def _drop(self, r: Request) -> None:
         if not r.live and not r.outstanding and r.stream is None:
             self.requests.pop(r.key, None)
+            self.taken_ids.ended(r.call_id, r)
             r.attempts.clear()
             if r.size:
                 r.release(self.backends.budget)
--- a/tests/node/test_ends.py
+++ b/tests/node/test_ends.py
@@ -64,7 +64,7 @@
     _, after = submit_request(node)
     assert after.answers == [(503, node.retry_after())]
     node.flush_events()
-    assert not node.requests
+    assert not node.requests and not node.taken_ids.open
 
 
 def test_what_the_node_refuses_itself_says_when_to_come_back(
@@ -106,7 +106,7 @@
         node.closing = False
         loop.run()
     assert [b.outstanding for b in node.balancer.membership.backends.values()] == [0, 0]
-    assert not node.balancer.finished and not node.balancer.requests and not node.requests
+    assert not node.balancer.finished and not node.balancer.requests and not node.requests and not node.taken_ids.open
 
 
 def test_a_request_whose_time_is_cut_by_one_behind_it_is_answered_by_then(
--- a/tests/node/test_repeated_ids.py
+++ b/tests/node/test_repeated_ids.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from headspar.node.taken_ids import KEEP_US, MAX_IDS, TakenIds
+from headspar.node.taken_ids import KEEP_US, MAX_IDS, MAX_IDS_IN_ANY_CASE, MIN_KEEP_US, TakenIds
 from tests.loopback import TIMEOUT_S, Node, answer, running, wait_for
 
 
@@ -62,13 +62,15 @@
         wait_for(lambda: node.client().ask("crew", X_Call_Id="refused").status == 200)
 
 
-def test_the_table_of_ids_is_bounded_in_number_and_in_time() -> None:
+@pytest.mark.parametrize(("step_us", "most"), [(1, MAX_IDS_IN_ANY_CASE), (2 * MIN_KEEP_US // MAX_IDS + 1, MAX_IDS)])
+def test_the_table_of_ids_is_bounded_in_number_and_in_time(step_us: int, most: int) -> None:
     ids = TakenIds()
-    for i in range(3 * MAX_IDS):
-        assert ids.take(b"%d" % i, 1000 + i)
-        assert len(ids) <= MAX_IDS
-    now = 1000 + 3 * MAX_IDS
-    newest = [b"%d" % i for i in range(3 * MAX_IDS - MAX_IDS // 2, 3 * MAX_IDS)]
+    count = 3 * most
+    for i in range(count):
+        assert ids.take(b"%d" % i, 1000 + i * step_us)
+        assert len(ids) <= most
+    now = 1000 + count * step_us
+    newest = [b"%d" % i for i in range(count - most // 2, count)]
     assert not any(ids.take(call_id, now) for call_id in newest)
     assert not ids.take(newest[-1], now + KEEP_US)
     assert ids.take(newest[-1], now + 3 * KEEP_US)
@@ -76,6 +78,41 @@
     assert ids.take(newest[-1], now + 3 * KEEP_US) and len(ids) == 1
 
 
+@pytest.mark.parametrize("rate", [820, 1250, 2500])
+def test_an_id_is_kept_for_longer_than_requests_are_open_at_a_high_rate(rate: int) -> None:
+    ids = TakenIds()
+    step_us = 1_000_000 // rate
+    for i in range(20 * rate):
+        assert ids.take(b"%d" % i, i * step_us)
+        oldest = max(0, i - 6 * rate)
+        assert ids.take(b"%d" % oldest, i * step_us) is False
+
+
+def test_the_id_of_an_open_request_is_known_however_many_come_after_it() -> None:
+    """Guards against an id that is forgotten while its request is open, and runs twice."""
+    ids, owner = TakenIds(), object()
+    assert ids.take(b"open", 0)
+    ids.opened(b"open", owner)
+    for i in range(4 * MAX_IDS_IN_ANY_CASE):
+        ids.take(b"%d" % i, i)
+    assert not ids.take(b"open", 10 * KEEP_US)
+    ids.ended(b"open", object())  # a copy that was rejected
+    assert not ids.take(b"open", 10 * KEEP_US)
+    ids.ended(b"open", owner)
+    assert ids.take(b"open", 10 * KEEP_US)
+
+
+def test_what_ends_late_does_not_close_a_later_request_with_the_same_id() -> None:
+    ids, refused, repeat = TakenIds(), object(), object()
+    ids.take(b"x", 0)
+    ids.opened(b"x", refused)
+    ids.release(b"x")
+    assert ids.take(b"x", 1)
+    ids.opened(b"x", repeat)
+    ids.ended(b"x", refused)
+    assert not ids.take(b"x", 10 * KEEP_US) and ids.open == {b"x": repeat}
+
+
 def test_an_id_is_kept_for_its_time_at_a_low_rate() -> None:
     ids = TakenIds()
     step = KEEP_US // 10
