A keeper reads its node's answer also when the head comes in pieces

Cause: call() looked for the end of the head in the first read alone; what followed an incomplete head was taken for the body, and the answer counted as none. Change: the answer is read to its end and then divided. Result: tests/keeper/test_node_client.py, pieces of 1 and 10 bytes failed before (2 of 4), 4 passed after.

--- a/headspar/keeper/node_client.py
+++ b/headspar/keeper/node_client.py
@@ -19,11 +19,10 @@
         async with asyncio.timeout(seconds):
             reader, writer = await asyncio.open_connection(*address)
             writer.write(f"{method} {path} HTTP/1.1\r\nHost: keeper\r\nContent-Length: 0\r\n\r\n".encode())
-            head, _, body = (await reader.read(MAX_ANSWER_BYTES)).partition(b"\r\n\r\n")
-            while more := await reader.read(MAX_ANSWER_BYTES):
-                body += more
-                if len(body) > MAX_ANSWER_BYTES:
-                    break
+            answer = b""
+            while len(answer) <= MAX_ANSWER_BYTES and (more := await reader.read(MAX_ANSWER_BYTES)):
+                answer += more
+        head, _, body = answer.partition(b"\r\n\r\n")
         status, raw = int(head.split()[1]), json.loads(body)
     except (TimeoutError, IndexError, ValueError, asyncio.IncompleteReadError) as error:
         raise OSError(f"no answer: {error or type(error).__name__}") from None
