Only the retry of a silent call has the shortest wait; refused calls still back off

Only the call that replaces one that timed out is limited to what leaves room for the balancer's pause, since no pause follows the first of the two.

--- a/headspar/node/chain.py
+++ b/headspar/node/chain.py
@@ -39,7 +39,7 @@
 
     ``watching``: the watch is active. ``first``: the next answer is the first since the balancer started the watch.
     ``retried``: the call in flight replaces one that timed out. ``whole``: the next call asks for the whole list
-    instead of the changes. ``wait_us``: long-poll wait of the next call.
+    instead of the changes. ``wait_us``: long-poll wait of a call that is no retry.
     """
 
     def __init__(self, rules: Settings) -> None:
@@ -51,15 +51,19 @@
         """Apply new settings from the next call on: the waits, and whether the balancer starts watches or an agent
         pushes lists."""
         self.asked = rules.must_subscribe
-        pause_us = RETRY_PAUSE_US if self.asked else AGAIN_US
-        self.max_wait_us = min(
-            rules.ask_every_us, DELIVERY_AFTER_FAILURE_US - PATIENCE_US - RECONNECT_US - pause_us
-        )
+        longest_us = DELIVERY_AFTER_FAILURE_US - PATIENCE_US - RECONNECT_US
+        self.max_wait_us = min(rules.ask_every_us, longest_us)
+        # A pause follows if the retry is not answered either.
+        self.max_retry_wait_us = longest_us - (RETRY_PAUSE_US if self.asked else AGAIN_US)
         self.min_wait_us = max(
             1_000_000, min(self.max_wait_us, DELIVERY_US + rules.drain_grace_us - PATIENCE_US - RECONNECT_US)
         )
         self.wait_us = min(self.max_wait_us, max(self.wait_us, self.min_wait_us))
 
+    def call_wait_us(self) -> int:
+        """Return the long-poll wait of the next call."""
+        return min(self.wait_us, self.max_retry_wait_us) if self.retried else self.wait_us
+
     def moved(self) -> None:
         """The address of discovery has changed: ask for the whole list there, even if no watch was active."""
         self.retried = False
--- a/headspar/node/discovery.py
+++ b/headspar/node/discovery.py
@@ -168,10 +168,11 @@
     def _ask(self) -> None:
         self._stop_timer()
         self.node.ledger.calls += 1
-        self.timer = self.node.loop.call_later((self.watch_state.wait_us + PATIENCE_US) / 1e6, self._on_timeout)
+        wait_us = self.watch_state.call_wait_us()
+        self.timer = self.node.loop.call_later((wait_us + PATIENCE_US) / 1e6, self._on_timeout)
         path = "/v1/servers"
         if not self.watch_state.whole:
-            path += f"?since={self.generation}&timeout_ms={self.watch_state.wait_us // 1000}"
+            path += f"?since={self.generation}&timeout_ms={wait_us // 1000}"
         if self.call is not None and self.call.may_ask():
             self.call.ask(path)
         else:
