--- a/headspar/node/request_validation.py
+++ b/headspar/node/request_validation.py
@@ -8,7 +8,8 @@
 answers a missing key with 400.)
 
 Callers learn of new settings later than the node. For ``GRACE_US`` after a class has become stricter, a request in
-the form that was valid before is still accepted and handled by the stricter effect, which is safe for both.
+the form that was valid before is still accepted and handled by the stricter effect, which is safe for both. A class
+that the settings no longer have is accepted for as long, and handled as unsafe to repeat.
 """
 
 from __future__ import annotations
@@ -24,33 +25,36 @@
 class Intake:
     """The request classes of the settings in force, by name."""
 
-    __slots__ = ("classes", "previous_effects", "grace_until")
+    __slots__ = ("classes", "previous_effects", "removed", "grace_until")
 
     def __init__(self, settings: Settings) -> None:
         self.classes: dict[str, RequestClass] = {c.name: c for c in settings.classes}
         self.previous_effects: dict[str, Effect] = {}  # previous effects of classes that have become stricter
+        self.removed: set[str] = set()  # classes that the settings had until the last change
         self.grace_until = 0
 
     def change(self, settings: Settings, now: int) -> None:
         """Apply new settings; ``now`` is the node's clock in microseconds."""
         old, earlier = self.classes, self.previous_effects if now < self.grace_until else {}
+        removed = self.removed if now < self.grace_until else set()
         self.classes = {c.name: c for c in settings.classes}
         self.previous_effects = {
             c.name: earlier.get(c.name, old[c.name].effect) for c in settings.classes
             if c.name in old and STRICTNESS[c.effect] > STRICTNESS[earlier.get(c.name, old[c.name].effect)]
         }
-        self.grace_until = now + GRACE_US if self.previous_effects else 0
+        self.removed = (removed | old.keys()) - self.classes.keys()
+        self.grace_until = now + GRACE_US if self.previous_effects or self.removed else 0
 
     def objection(self, cls: str, keyed: bool, command: bool, clock: Callable[[], int]) -> str | None:
         """Return why a request of class ``cls`` is rejected, or None.
 
         ``keyed``: it has a receipt key that is not empty. ``command``: its method changes something (POST). A request
-        of an unknown class is accepted and handled as unsafe to repeat. ``clock`` returns the node's time in
-        microseconds and is called only when a request would be rejected.
+        of a class that the settings do not have is rejected. ``clock`` returns the node's time in microseconds and is
+        called only when a request would be rejected.
         """
         spec = self.classes.get(cls)
         if spec is None:
-            return None
+            return None if cls in self.removed and clock() < self.grace_until else "no such class"
         reason = _objection(spec.effect, keyed, command)
         if (
             reason and cls in self.previous_effects and clock() < self.grace_until
--- a/tests/operations/test_reload.py
+++ b/tests/operations/test_reload.py
@@ -75,6 +75,20 @@
     assert intake.objection("look", True, True, lambda: 3001) is not None
 
 
+def test_a_class_that_is_no_longer_in_the_settings_is_taken_for_a_while() -> None:
+    intake = Intake(settings(classes=[LOOK, RequestClass("old", 1, 1)]))
+    assert intake.objection("new", False, False, lambda: 0) is not None
+    intake.change(settings(classes=[LOOK, RequestClass("new", 1, 1)]), 1000)
+    assert intake.objection("new", False, False, lambda: 1001) is None
+    assert intake.objection("old", False, True, lambda: 1000 + GRACE_US - 1) is None
+    intake.change(settings(classes=[LOOK]), 2000)  # a second change within the grace period
+    assert intake.objection("old", False, True, lambda: 2001) is None
+    assert intake.objection("new", False, True, lambda: 2001) is None
+    assert intake.objection("old", False, True, lambda: 2000 + GRACE_US) is not None
+    intake.change(settings(classes=[LOOK, RequestClass("old", 1, 1)]), 3 * GRACE_US)
+    assert intake.objection("old", False, False, lambda: 3 * GRACE_US + 1) is None
+
+
 class Module:
     """The decision module with a simulated clock."""
 
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -140,12 +140,22 @@
         assert len(node.backends[0].requests) == 1
 
 
+@pytest.mark.parametrize("cls", ["unheard-of", "", "LOOK", "look2", "l" * 5000])
+def test_a_request_of_a_class_that_does_not_exist_reaches_no_server(cls: str) -> None:
+    """Guards against a bad client's request that is served: no server can turn it away, as it isn't told the class."""
+    with running(None) as node:
+        client = node.client()
+        assert client.ask_with({"X_Call_Class": cls}).status == 400
+        assert client.ask().status == 200
+        assert len(node.backends[0].requests) == 1
+
+
 @pytest.mark.parametrize("changes", [
     {"X_Call_Cost": "much"}, {"X_Call_Cost": ""}, {"X_Call_Cost": "-3"}, {"X_Call_Cost": "nan"},
-    {"X_Call_Class": "unheard-of"}, {"X_Call_Class": ""}, {"X_Caller": "nobody"},
+    {"X_Caller": "nobody"},
     {"Connection": "Upgrade", "Upgrade": "x"},
 ])
-def test_odd_hints_classes_and_tenants_are_served(changes: dict[str, str]) -> None:
+def test_odd_hints_and_tenants_are_served(changes: dict[str, str]) -> None:
     with running(None) as node:
         client = node.client()
         assert client.ask_with(changes).status == 200
@@ -300,7 +310,8 @@
     ("look", "POST", None, 400), ("look", "POST", "k", 400),
     ("pay", "POST", "k", 200), ("pay", "POST", None, 400),
     ("pay", "POST", "  ", 400), ("pay", "GET", "k", 400),
-    ("crew", "POST", None, 200), ("crew", "GET", None, 400), ("nobody's", "POST", None, 200),
+    ("crew", "POST", None, 200), ("crew", "GET", None, 400),
+    ("nobody's", "POST", None, 400), ("nobody's", "POST", "k", 400), ("nobody's", "GET", None, 400),
 ])
 def test_a_request_that_contradicts_its_class_reaches_no_server(
     cls: str, method: str, key: str | None, status: int
@@ -315,6 +326,7 @@
         )
         assert client.read().status == status
         assert client.ask().status == 200  # the connection stays open
+        assert len(node.backends[0].requests) == 1 + (status == 200)
         assert len(node.backends[0].requests) == (2 if status == 200 else 1)
 
 
