--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -142,7 +142,7 @@
 
 @pytest.mark.parametrize("cls", ["unheard-of", "", "LOOK", "look2", "l" * 5000])
 def test_a_request_of_a_class_that_does_not_exist_reaches_no_server(cls: str) -> None:
-    """Guards against a bad client's request that is served: no server can turn it away, as it isn't told the class."""
+    """Guards against a bad client's request that is served: servers are not told its class."""
     with running(None) as node:
         client = node.client()
         assert client.ask_with({"X_Call_Class": cls}).status == 400
