The new process of an upgrade takes only the memory that the old one has left

Cause: each of the two processes had half of the memory for what is held, though the old one could hold more already.

Change: the old process tells what it holds in its offer and its reports (held_mb; versions without the field count as holding their half), and the new one has the rest, 4 MiB at least.

A sample of the hand-over's new form is among the frozen ones.

--- a/headspar/handover/messages.py
+++ b/headspar/handover/messages.py
@@ -37,8 +37,8 @@
     """Old to new process: comes with the listening socket, the peers' socket if ``peers``, and a file of learned
     state.
 
-    ``clients``, ``backends`` and ``requests`` are the numbers that the old process holds.  ``ids``: the old process
-    reads ``Taken``.
+    ``clients``, ``backends`` and ``requests`` are the numbers that the old process holds, ``held_mb`` the memory that
+    it holds for its peers (MiB, rounded up).  ``ids``: the old process reads ``Taken``.
     """
 
     peers: bool
@@ -46,6 +46,7 @@
     backends: int
     requests: int
     ids: bool = False
+    held_mb: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,11 +63,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Held:
-    """Old to new process: the numbers that the old process still holds."""
+    """Old to new process: the numbers, and the memory for its peers (MiB, rounded up), that the old process still
+    holds."""
 
     clients: int
     backends: int
     requests: int
+    held_mb: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/headspar/handover/shares.py
+++ b/headspar/handover/shares.py
@@ -16,6 +16,8 @@
 SPARE = 40
 CLIENTS_SHARE = 0.6  # of the descriptors for clients and backends
 MIN_SHARE = 4  # descriptors
+MIB = 1024 * 1024
+MIN_BUDGET = 4 * MIB  # bytes that the second process may hold for its peers, whatever the first holds
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,3 +51,14 @@
         max(MIN_SHARE, alone.clients - held.clients), max(MIN_SHARE, alone.backends - held.backends),
         (alone.spare - OWN_FILES) // 2, max(1, alone.callers // 2), max(1, alone.requests - held.requests),
     )
+
+
+def old_process_budget(alone: int) -> int:
+    """The bytes that the first process may hold for its peers once it has sent an offer; it may hold more already."""
+    return alone // 2
+
+
+def new_process_budget(alone: int, held: Held | Offer) -> int:
+    """The bytes that the second process may hold for its peers while the first holds ``held`` or grows to its
+    half."""
+    return max(MIN_BUDGET, alone - max(old_process_budget(alone), held.held_mb * MIB))
--- a/headspar/node/budget.py
+++ b/headspar/node/budget.py
@@ -11,6 +11,10 @@
     def __init__(self, size: int) -> None:
         self.size = self.available = size
 
+    def held(self) -> int:
+        """Return the bytes that are held."""
+        return self.size - self.available
+
     def resize(self, size: int) -> None:
         """Change the size; bytes held beyond it stay until they are given back."""
         self.available += size - self.size
--- a/headspar/process.py
+++ b/headspar/process.py
@@ -132,7 +132,7 @@
             )
             await self._listen_to_peers()
         if inherited is not None:
-            self._share(shares.new_process_shares(self.sole_process_share, inherited.offer))
+            self._share_with_old_process(inherited.offer)
         beliefs = self._inherited_state()
         if beliefs is None and inherited is None and self.snapshots is not None:
             found = self.snapshots.restore()
@@ -264,14 +264,23 @@
 
     # ------------------------------------------------------------ hand-over
 
-    def _share(self, part: shares.Shares, *, alone: bool = False) -> None:
-        self.budget.resize(self.body_budget_bytes if alone else self.body_budget_bytes // 2)
+    def _share(self, part: shares.Shares, budget_bytes: int) -> None:
+        self.budget.resize(budget_bytes)
         self.server.max_clients, self.server.spare_descriptors = part.clients, part.spare
         self.node.backends.limit(part.backends)
         self.node.most_held = part.requests
         if self.ops is not None:
             self.ops.max_connections = max(1, part.callers)
 
+    def _share_as_only_process(self) -> None:
+        self._share(self.sole_process_share, self.body_budget_bytes)
+
+    def _share_with_old_process(self, held: Held | Offer) -> None:
+        self._share(
+            shares.new_process_shares(self.sole_process_share, held),
+            shares.new_process_budget(self.body_budget_bytes, held),
+        )
+
     def _adopt(self, sock: socket.socket) -> None:
         """Serve a client connection of the old process that is between two requests. The old process then holds one
         fewer, so the limit here rises by one; otherwise adopted clients would displace others."""
@@ -293,16 +302,20 @@
     def _on_old_process_holds(self, held: Held | None) -> None:
         """Adjust limits to what the old process still holds; None means that it has ended."""
         if held is None:
-            self._share(self.sole_process_share, alone=True)
+            self._share_as_only_process()
         else:
-            self._share(shares.new_process_shares(self.sole_process_share, held))
+            self._share_with_old_process(held)
 
     def make_offer(self) -> tuple[Offer, list[int], bytes]:
         """Prepare the offer to a new process that is starting, and reduce the limits to this process's part."""
-        self._share(shares.old_process_shares(self.sole_process_share))
+        self._share(
+            shares.old_process_shares(self.sole_process_share), shares.old_process_budget(self.body_budget_bytes)
+        )
         files = [self.socket.fileno()] + ([self.peers_socket.fileno()] if self.peers_socket else [])
         held = self.held_resources()
-        offer = Offer(len(files) > 1, held.clients, held.backends, held.requests, ids=True)
+        offer = Offer(
+            len(files) > 1, held.clients, held.backends, held.requests, ids=True, held_mb=held.held_mb
+        )
         return offer, files, self._encode_learned_state()
 
     def _encode_learned_state(self) -> bytes:
@@ -334,13 +347,16 @@
             # sent.
             active = len(self.server.clients) - len(self.server.idle)
             backends.limit(min(backends.max_connections, max(backends.busy(), active) + SPARE_BACKEND_CONNECTIONS))
-            return Held(len(self.server.clients), backends.max_connections, len(self.node.requests))
-        return Held(len(self.server.clients), len(backends.connections), len(self.node.requests))
+            connections = backends.max_connections
+        else:
+            connections = len(backends.connections)
+        held_mb = -(-max(0, self.budget.held()) // shares.MIB)
+        return Held(len(self.server.clients), connections, len(self.node.requests), held_mb)
 
     def on_successor_gone(self) -> None:
         """The new process has gone: resume as the only process of the node, unless this one is ending itself."""
         self.node.log("hand-over: the second process is gone")
-        self._share(self.sole_process_share, alone=True)
+        self._share_as_only_process()
         handed = self.node.lifecycle.hands_over
         self.node.lifecycle.move(Cause.NEW_PROCESS_GONE)
         if handed and not self.node.lifecycle.ending:
--- a/tests/handover/test_upgrades.py
+++ b/tests/handover/test_upgrades.py
@@ -346,3 +346,31 @@
         assert node.process.wait(TIMEOUT_S) == 0
 
 
+def test_a_new_process_takes_only_the_memory_that_the_old_one_has_left() -> None:
+    """Guards against two processes that hold more than the node may: the old one holds over half of it already."""
+    large, small = bytes(20_000_000), bytes(8_000_000)
+    release = threading.Event()
+
+    def script(sock: socket.socket, n: int) -> None:
+        if n == 1:
+            release.wait(TIMEOUT_S)
+        sock.sendall(answer())
+
+    with running(script, ops=True, memory_mb=96) as node, node.client() as holder:  # 44 MiB for what is held
+        holder.send(holder.head("crew", bytes(30_000_000), budget="15000m") + bytes(30_000_000))
+        wait_for(lambda: node.backends[0].requests)
+        first = node.second()
+        with node.client() as client:
+            assert client.ask("crew", large).status == 503
+        with node.client() as client:
+            assert client.ask("crew", small).status == 200
+        release.set()
+        assert holder.read().status == 200
+        first.send_signal(signal.SIGTERM)
+        assert first.wait(TIMEOUT_S) == 0
+
+        def taken() -> bool:
+            with node.client() as client:
+                return client.ask("crew", large).status == 200
+
+        wait_for(taken)
--- a/tests/handover/test_without_sockets.py
+++ b/tests/handover/test_without_sockets.py
@@ -27,7 +27,8 @@
 
 MESSAGES: list[tuple[Message, int]] = [
     (Hello("n0"), 0), (Offer(True, 1, 2, 3), 3), (Offer(False, 1, 2, 3), 2), (Ready(), 0), (Clients(5), 5),
-    (Held(1, 2, 3), 0), (No("busy"), 0), (Hello("n0", ids=True), 0), (Taken("a1\nb2"), 0),
+    (Held(1, 2, 3), 0), (Held(1, 2, 3, held_mb=1434), 0), (Offer(True, 1, 2, 3, held_mb=90), 3), (No("busy"), 0),
+    (Hello("n0", ids=True), 0), (Taken("a1\nb2"), 0),
 ]
 
 
@@ -103,6 +104,23 @@
             assert other.requests == 600
 
 
+@pytest.mark.parametrize("alone_mb", [11, 112, 1411])
+@pytest.mark.parametrize("held", [0.0, 0.2, 0.5, 0.7, 1.0, 1.3])
+def test_two_processes_never_may_hold_more_memory_than_one(alone_mb: int, held: float) -> None:
+    alone, held_mb = alone_mb * shares.MIB, int(held * alone_mb)
+    other = shares.new_process_budget(alone, Held(0, 0, 0, held_mb))
+    most_of_first = max(shares.old_process_budget(alone), held_mb * shares.MIB)
+    assert other + most_of_first <= max(alone, most_of_first + shares.MIN_BUDGET)
+    assert shares.MIN_BUDGET <= other <= max(shares.MIN_BUDGET, alone - alone // 2)
+
+
+def test_a_process_of_a_version_that_does_not_tell_what_it_holds_leaves_half() -> None:
+    packet = encode(Held(1, 2, 3)).replace(b', "held_mb": 0', b"")
+    assert b"held_mb" not in packet
+    held = decode(packet, 0)
+    assert isinstance(held, Held) and shares.new_process_budget(100 * shares.MIB, held) == 50 * shares.MIB
+
+
 def test_a_second_process_always_has_some_room() -> None:
     other = shares.new_process_shares(shares.whole(256, 16, 100), Held(10_000, 10_000, 10_000))
     assert min(other.clients, other.backends, other.callers, other.requests) >= 1
