A long answer with a request behind it is passed on in time as well

Cause: with a request queued behind it, an answer is held as a whole, since the client's connection ends if a streamed one breaks; the time at which an answer has to be passed on did not count for it.

If it breaks after that, the requests behind it are lost with it; before, it was lost itself.

--- a/headspar/node/backend_connection.py
+++ b/headspar/node/backend_connection.py
@@ -225,8 +225,8 @@
     def _stream_or_drop(self, attempt: Attempt) -> None:
         """Begin to stream an answer, or drop what has come of it if nobody waits for it any more.
 
-        With requests queued behind it, the answer is held as a whole: if a streamed one breaks, the client's
-        connection ends, and those requests would stay unanswered.
+        With requests queued behind it, the answer is held until it has to be passed on: if a streamed one breaks, the
+        client's connection ends, and those requests stay unanswered.
         """
         client = attempt.request.client
         if client is not None and client.has_queued_requests():
@@ -256,12 +256,13 @@
             self.hold_timer = None
 
     def pass_on(self) -> bool:
-        """Pass on what has come of a long answer, and the rest as it comes. Return whether it is being passed on."""
+        """Pass on what has come of a long answer, and the rest as it comes, also with requests queued behind it: held
+        any longer, it would be late. Return whether it is being passed on."""
         attempt = self.attempt
         if attempt is None or self.complete or not self._may_be_long():
             return False
         client = attempt.request.client
-        if not self.streaming and client is not None and not client.has_queued_requests():
+        if not self.streaming and client is not None:
             self._begin_streaming(attempt, client)
         return self.streaming
 
--- a/tests/node/test_slow_answers.py
+++ b/tests/node/test_slow_answers.py
@@ -73,6 +73,17 @@
         assert_arrives_whole(node, "crew")
 
 
+@pytest.mark.parametrize("framing", ["chunked", "close", "length"])
+def test_a_slow_answer_with_a_request_behind_it_is_not_cut_off_at_the_deadline(framing: str) -> None:
+    """Guards against an answer that is held as a whole for the request behind it, and given up at its deadline."""
+    with running(slowly(framing)) as node, node.client() as client:
+        client.send(client.head("look", budget=BUDGET) + client.head("look", budget="15000m"))
+        first = client.read()
+        assert (first.status, first.complete, first.body) == (200, True, content())
+        second = client.read()
+        assert (second.status, second.complete, second.body) == (200, True, content())
+
+
 def test_what_came_of_an_answer_without_a_length_is_not_held_back_for_two_seconds() -> None:
     more = threading.Event()
 
