--- a/headspar/node/backend_connection.py
+++ b/headspar/node/backend_connection.py
@@ -19,6 +19,7 @@
 from headspar.node.core import Attempt
 from headspar.node.http_response import ResponseProtocol
 from headspar.node.message_limits import MessageLimitError
+from headspar.node.request_fields import read_decimal
 from headspar.node.trace import CloseReason, EndReason
 
 if TYPE_CHECKING:
@@ -378,11 +379,9 @@
 def read_report(value: bytes, fields: tuple[str, ...]) -> dict[str, float] | None:
     """Parse the named fields of a load report; fields that cannot be parsed are left out."""
     report = {}
-    for pair in value.decode("latin-1").split(","):
-        name, _, figure = pair.strip().partition("=")
-        if name in fields:
-            try:
-                report[name] = float(figure)
-            except ValueError:
-                continue
+    for pair in value.split(b","):
+        name, _, figure = pair.strip().partition(b"=")
+        number = read_decimal(figure.strip())
+        if number is not None and (field := name.decode("latin-1")) in fields:
+            report[field] = number
     return report or None
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -130,7 +130,7 @@
 
 @pytest.mark.parametrize("changes", [
     {"X_Call_Id": ""}, {"X_Call_Id": "x" * 300}, {"X_Budget": ""}, {"X_Budget": "soon"}, {"X_Budget": "12"},
-    {"X_Budget": "-5m"}, {"X_Budget": "nanm"}, {"X_Budget": "infu"},
+    {"X_Budget": "-5m"}, {"X_Budget": "nanm"}, {"X_Budget": "infu"}, {"X_Budget": "1_000m"}, {"X_Budget": "1e999m"},
 ])
 def test_a_head_that_lacks_what_is_needed_is_400_and_the_connection_goes_on(changes: dict[str, str]) -> None:
     with running(None) as node:
