An answer of discovery with very many values is not decoded

Change: an answer with more than 131,072 commas and opening brackets is malformed. The largest list, 8,192 servers with all their fields, has some 73,000.

--- a/headspar/node/discovery.py
+++ b/headspar/node/discovery.py
@@ -25,6 +25,7 @@
 CONNECT_TIMEOUT_US = 1_000_000
 MAX_ANSWER_BYTES = 4 * 1024 * 1024  # some 16,000 entries
 MAX_BACKENDS = 8192  # in the list
+MAX_VALUES = 16 * MAX_BACKENDS  # in an answer; each takes some 100 bytes once it is decoded
 MAX_LOGGED = 200  # characters of a log line that lists servers
 MAX_NAME = 256  # characters of an entry's id, zone or machine type
 MAX_PAUSE_US = 100_000  # between an answer and the next call; a watch ends after 200 ms
@@ -32,6 +33,14 @@
 STATES = {health: name for name, health in HEALTHS.items()}
 
 
+def decode_answer(body: bytes) -> Any:
+    """Decode an answer's JSON. Raises ``ValueError`` if it is malformed, or has so many values that they would take
+    many times the memory of its text."""
+    if body.count(b",") + body.count(b"[") + body.count(b"{") > MAX_VALUES:
+        raise ValueError(f"more than {MAX_VALUES} values")
+    return json.loads(body)
+
+
 class Call(ResponseProtocol):
     """One connection to discovery, which carries one call at a time."""
 
@@ -229,7 +238,7 @@
             return
         began_at = now_us()
         try:
-            raw = json.loads(body)
+            raw = decode_answer(body)
             kind = ListKind.FULL if raw.get("reset") else ListKind.DELTA
             if self._is_out_of_order(raw, kind):
                 self._ask_for_whole_list()
--- a/tests/node/test_discovery_bounds.py
+++ b/tests/node/test_discovery_bounds.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import tracemalloc
 from typing import Any
 
 import pytest
@@ -76,6 +77,41 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("value", [b"[]", b"{}", b'""', b"1.5"])
+def test_an_answer_of_many_small_values_is_not_decoded(value: bytes) -> None:
+    """Guards against an answer within the limit of bytes that takes twenty times as much memory."""
+    many = b", ".join([value] * (MAX_ANSWER_BYTES // (len(value) + 3)))
+    body = b'{"generation": 6, "instances": [' + many + b"]}"
+
+    async def scenario() -> None:
+        w, call, _ = await watching()
+        tracemalloc.start()
+        try:
+            call.data_received(b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+            await rounds()
+            most = tracemalloc.get_traced_memory()[1]
+        finally:
+            tracemalloc.stop()
+        assert w.discovery.generation == 5 and "values" in w.log[-1]
+        assert most < 4 * MAX_ANSWER_BYTES
+        w.discovery.watch(False)
+
+    asyncio.run(scenario())
+
+
+def test_the_largest_list_is_decoded() -> None:
+    async def scenario() -> None:
+        w, call, _ = await watching()
+        more = {"machineType": "m", "cell": 0, "weight": 1.0}
+        rows = [{**row(f"s-{number}"), **more} for number in range(MAX_BACKENDS)]
+        call.data_received(answer(6, rows, reset=True))
+        await rounds()
+        assert w.discovery.generation == 6 and len(w.hosts) == MAX_BACKENDS
+        w.discovery.watch(False)
+
+    asyncio.run(scenario())
+
+
 def test_the_next_call_comes_after_a_pause_as_long_as_the_answer_took(monkeypatch: pytest.MonkeyPatch) -> None:
     async def scenario() -> None:
         w, call, transport = await watching()
