The target of a request is read by one rule for clients and for operators

Operators' calls left a query out, /healthz did not; neither took the absolute form, which a server has to accept (RFC 9112, section 3.2.2): 400 and 404.

Change: request_target.read_path for both.

--- a/headspar/node/clients.py
+++ b/headspar/node/clients.py
@@ -22,6 +22,7 @@
 from headspar.node.paced_input import PacedProtocol
 from headspar.node.request_fields import is_valid_host, read_budget, read_hint, read_target_key
 from headspar.reason_phrases import REASONS
+from headspar.request_target import read_path
 
 if TYPE_CHECKING:
     from headspar.node.backend_connection import Connection
@@ -46,6 +47,7 @@
 FREE_HEAD_BYTES = 2 * 1024  # of a head; what is kept beyond that counts against the memory for bodies
 JOINED_ANSWER_BYTES = 64 * 1024  # content up to this size is copied behind its head, for a single write
 QUEUED_REQUEST_BYTES = 1536  # what a request takes besides its head that waits behind another one
+HEALTH_PATH = b"/healthz"
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 MAX_PIPELINED = 256  # maximum number of pipelined requests that wait for an earlier answer on their connection
 # A client's close is seen behind its last byte; an attempt must not begin 0.1 s after it.
@@ -280,13 +282,13 @@
             self._reject(431)
         elif method not in (b"GET", b"POST"):
             self._reject(405)
-        elif version != "1.1" and self.url != b"/healthz":
+        elif version != "1.1" and read_path(self.url) != HEALTH_PATH:
             self._reject(505)
         elif headers.get(b"transfer-encoding", b"chunked").lower() != b"chunked":
             self._reject(501)  # it would be forwarded without its coding, as a different body
         elif length is not None and int(length) > MAX_BODY:
             self._reject(413)
-        elif self.url == b"/healthz":
+        elif read_path(self.url) == HEALTH_PATH:
             self.early_status = 200 if self.node.lifecycle.ready else 503
         else:
             self.early_status = self._parse_head(r, method) or self._reserve_head(r)
--- a/headspar/operations/calls.py
+++ b/headspar/operations/calls.py
@@ -9,6 +9,7 @@
 
 from headspar.operations.lifecycle import Cause, Lifecycle
 from headspar.reason_phrases import REASONS
+from headspar.request_target import read_path
 
 
 @dataclass(slots=True)
@@ -49,7 +50,7 @@
 
     def answer(self, method: str, target: str) -> Reply:
         """Returns the response to a complete request; ``target`` as in the request line."""
-        route = self.table.get(target.partition("?")[0])
+        route = self.table.get(read_path(target.encode("latin-1")).decode("latin-1"))
         if route is None:
             return Reply(404, {"error": "no such endpoint"})
         allowed, handler = route
--- a/tests/node/test_request_fields.py
+++ b/tests/node/test_request_fields.py
@@ -6,6 +6,8 @@
 
 from headspar.node.backend_connection import read_report
 from headspar.node.request_fields import read_budget, read_decimal, read_hint
+from headspar.request_target import read_path
+from tests.loopback import running
 
 NO_NUMBERS = [b"", b"soon", b"1_000", b"nan", b"inf", b"-inf", b"infinity", b"1e999", b"0x10", b" 5", b"5 ", b"1.2.3",
               b"\xb2", b"."]
@@ -29,3 +31,23 @@
     assert read_budget(value + b"m") == int(1000 * number)
     assert read_hint(value) == int(number)
     assert read_report(b"eps=" + value, ("eps",)) == {"eps": number}
+
+
+@pytest.mark.parametrize(("target", "path"), [
+    (b"/healthz", b"/healthz"), (b"/healthz?from=front", b"/healthz"), (b"http://node:80/healthz", b"/healthz"),
+    (b"HTTP://node/healthz?x=/stats", b"/healthz"), (b"http://node", b"/"), (b"*", b"*"),
+    (b"/a/healthz", b"/a/healthz"),
+    (b"/?u=http://node/healthz", b"/"), (b"ftp://node/healthz", b"ftp://node/healthz"), (b"", b""),
+])
+def test_the_path_of_a_target_is_the_same_in_all_its_forms(target: bytes, path: bytes) -> None:
+    assert read_path(target) == path
+
+
+@pytest.mark.parametrize("target", ["/healthz", "/healthz?from=front", "http://node/healthz"])
+def test_clients_and_operators_may_use_any_form_of_a_target(target: str) -> None:
+    """Guards against a target that is read by one rule for clients and by another one for operators."""
+    with running(None, ops=True) as node:
+        with node.client() as client:
+            client.send(f"GET {target} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+            assert client.read().status == 200
+        assert node.call(target.replace("healthz", "stats"))[0] == 200
