The model's watch on discovery waits as the node's does

Cause: the model asked the chain for the wait of a call that is no retry.

Change: the model uses call_wait_us, like the node. Result: tests/model, 112 passed.

--- a/headspar/model/discovery.py
+++ b/headspar/model/discovery.py
@@ -204,7 +204,7 @@
             return
         self.serial += 1
         self.outstanding = self.serial
-        now, wait = self.events.now, self.chain.wait_us
+        now, wait = self.events.now, self.chain.call_wait_us()
         self.timeout = self.events.at(now + wait + PATIENCE_US, self._timed_out)
         since = -1 if self.chain.whole else self.generation
         self.events.at(now + LEG_US, self.discovery.call, self, self.outstanding, since, wait)
