Fewer calls on the way of a request: health path, digits, output that waits

Change: the path of a target is read only where it can be the health check's, digits need no pattern, output is counted only while a client is behind.

--- a/headspar/node/clients.py
+++ b/headspar/node/clients.py
@@ -278,17 +278,18 @@
         method = parser.get_method()
         version = parser.get_http_version()
         length = headers.get(b"content-length")
+        is_health_check = HEALTH_PATH in self.url and read_path(self.url) == HEALTH_PATH
         if head_size > MAX_HEAD and len(self.url) + self.fields_size > MAX_HEAD:
             self._reject(431)
         elif method not in (b"GET", b"POST"):
             self._reject(405)
-        elif version != "1.1" and read_path(self.url) != HEALTH_PATH:
+        elif version != "1.1" and not is_health_check:
             self._reject(505)
         elif headers.get(b"transfer-encoding", b"chunked").lower() != b"chunked":
             self._reject(501)  # it would be forwarded without its coding, as a different body
         elif length is not None and int(length) > MAX_BODY:
             self._reject(413)
-        elif read_path(self.url) == HEALTH_PATH:
+        elif is_health_check:
             self.early_status = 200 if self.node.lifecycle.ready else 503
         else:
             self.early_status = self._parse_head(r, method) or self._reserve_head(r)
@@ -515,14 +516,14 @@
         if self.transport is not None:
             self.active_tick = self.server.ticks
             self.transport.write(data)
-            self._count_output(len(data))
+            if self.paused:
+                self._count_output(len(data))
 
     def _count_output(self, size: int) -> None:
         """Count output that the client has not taken against the budget. The transport holds all of it until the
         last byte is out."""
-        if self.paused:
-            self.server.budget.charge(size)
-            self.output_size += size
+        self.server.budget.charge(size)
+        self.output_size += size
 
     def _output_gone(self) -> None:
         self.server.budget.give_back(self.output_size)
@@ -598,7 +599,8 @@
         elif self.transport is not None:
             self.active_tick = self.server.ticks
             self.transport.writelines([head, *body])
-            self._count_output(len(head) + size)
+            if self.paused:
+                self._count_output(len(head) + size)
         self._answer_written()
 
     def has_queued_requests(self) -> bool:
--- a/headspar/node/request_fields.py
+++ b/headspar/node/request_fields.py
@@ -44,10 +44,13 @@
     """Return the cost hint in microseconds; None if there is no valid one."""
     if value is None:
         return None
-    decimal = read_decimal(value)
-    if decimal is None:
-        return None
-    us = int(decimal)
+    if value.isdigit():
+        us = int(value[:12])
+    else:
+        decimal = read_decimal(value)
+        if decimal is None:
+            return None
+        us = int(decimal)
     return us if 0 <= us <= 3_600_000_000 else None
 
 
